--- /dev/null
+++ b/stackwheel/__init__.py
@@ -0,0 +1,1 @@
+"""stackwheel: a central planner behind a layer of plain proxies."""
--- /dev/null
+++ b/stackwheel/balance.py
@@ -0,0 +1,661 @@
+"""The policy: every decision and every tuned value of the planner, in reading order.
+
+The types, events and actions it speaks in are in `stackwheel/interface.py`. Each slot it turns last slot's
+reports into estimates, spreads every zone's demand per class over servers in proportion to spare capacity
+weighted down by a delay-plus-cost score, moves the shared zone-and-class tables a capped step towards that,
+and sends what moved. Drains, losses, restarts and joins do not wait for the slot.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import struct
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from stackwheel import interface as face
+from stackwheel.interface import Action, Event, Retry, Server, ServerEntry, Settings
+
+# Estimates (shares of a value, per slot)
+SMOOTHING = 0.3  # how far a rate or a load figure moves towards the newest report
+EVIDENCE = 10.0  # tries after which a report counts for half of an answer time
+FADE = 0.03  # how far an estimate nobody confirms drifts back to the average
+ERROR_AIMS = 2.0  # an error counts as an answer this many aims late
+TARGET_USE = 0.7  # the design's: what share of capacity is filled before demand moves on
+CAPACITY_GAIN = 0.15
+CAPACITY_SPAN = 5.0  # an estimate stays within this multiple of what the list promises
+
+# Spread
+COST_V = 10.0  # V: aims of delay that one unit of cross-zone price is worth
+SCORE_POWER = 2.0
+ROUNDS = 4  # of filling spare capacity before the rest counts as excess
+STEP = 0.2  # the design's: the most a weight moves in a slot, of itself or its target
+WORTH_SENDING = 0.1  # the design's: a line goes out when it moved by more than this
+LEAST_SHARE = 0.005  # lines under this share of a table are left out
+
+# Health
+EJECT_AT = 0.3  # share of failures, over ...
+EJECT_TRIES = 6.0  # ... about so many tries
+PANIC_SHARE = 0.4  # of the servers open to a class: never eject more
+TRICKLE = 0.05  # of an even share, while ejected
+HOLD_CYCLES = 3.0  # an ejection lasts so long at first, twice as long each time again
+HOLD_MOST = 16.0
+
+# Channel (shares of the backlog limit, of the stated rate and of the message cap)
+PACE = 0.4  # of the rate, for changes
+DELTA_BACKLOG = 0.4
+JOIN_BACKLOG = 0.8
+DELTA_MESSAGES = 0.5
+SLOWEST = 0.2  # the queue is modelled as if the channel ran at this share of its rate
+
+# Admission
+SLOW_AIMS = 0.5  # more than half of the traffic slower than this many aims: overload
+SHED_STEP = 0.1
+SHED_MOST = 0.8
+LEAST_LEVEL = 0.05
+NO_LIMIT = 1e6  # requests a second at one proxy
+
+PEER_LIFE = 3.0  # cycles for which a peer's figures count
+PEER_LINE = struct.Struct(">6sH")
+PEER_LINES = 32  # what fits in one message
+SLOT_TOKEN, LIST_TOKEN = 1 << 32, 2 << 32
+
+
+@dataclass(slots=True)
+class ServerView:
+    """What this planner knows of a server."""
+
+    entry: ServerEntry
+    capacity: float = 0.0  # requests a second when warm
+    rate: float = 0.0  # tries a second of our own proxies
+    tries: float = 0.0  # gathered since the last slot, as a rate
+    delay: dict[int, float] = field(default_factory=dict)  # answer time by the proxies' zone
+    failing: float = 0.0  # share of tries
+    evidence: float = 0.0  # tries behind `failing`
+    load: dict[str, float] = field(default_factory=dict)
+    ejected_until: float = 0.0
+    hold: float = 0.0
+
+    def mean_delay(self, otherwise: float) -> float:
+        return sum(self.delay.values()) / len(self.delay) if self.delay else otherwise
+
+
+@dataclass(slots=True)
+class Table:
+    """A shared table: what the slot steers to and what the proxies have been sent."""
+
+    number: int
+    zone: int
+    place: int  # of the class
+    shares: dict[Server, float] = field(default_factory=dict)
+    sent: dict[Server, float] = field(default_factory=dict)
+    level: tuple[float, Retry] | None = None
+
+
+@dataclass(slots=True)
+class ProxyView:
+    zone: int
+    demand: list[float]  # by class
+    written: deque[float] = field(default_factory=deque)
+    bound: bool = False
+
+
+class Outbox:
+    """Owns the channel: models its queue and each proxy's messages, and says what still fits."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.queued = 0.0
+        self.at = 0.0
+
+    def advance(self, now: float) -> None:
+        gone = (now - self.at) / 1000.0 * self.settings.channel_rate * SLOWEST
+        self.queued, self.at = max(0.0, self.queued - gone), now
+
+    def fits(self, lines: float, share: float) -> bool:
+        return not self.settings.backlog or self.queued + lines <= self.settings.backlog * share
+
+    def may_write(self, proxy: ProxyView, share: float) -> bool:
+        cap = self.settings.message_cap
+        while proxy.written and proxy.written[0] <= self.at - self.settings.message_window:
+            proxy.written.popleft()
+        return not cap or len(proxy.written) + 1 <= max(1.0, cap * share)
+
+    def charge(self, proxies: dict[int, ProxyView], lines: dict[int, int]) -> None:
+        for number, count in lines.items():
+            self.queued += count + self.settings.overhead
+            proxies[number].written.append(self.at)
+
+
+class Planner:
+    """One planner instance: events in, actions out."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.actions: list[Action] = []
+        self.lines: dict[int, int] = {}  # written in this reply, by proxy
+        self.servers: dict[Server, ServerView] = {}
+        self.proxies: dict[int, ProxyView] = {}
+        self.tables: dict[tuple[int, int], Table] = {}
+        self.peers: dict[int, tuple[float, dict[Server, float]]] = {}
+        self.urgent: dict[Server, None] = {}  # servers whose lines must be right at once
+        self.outbox = Outbox(settings)
+        self.slot = 0
+        self.slot_at = -math.inf
+        self.reported = False
+        self.shed = 0.0
+        self.slices: dict[int, dict[Server, float]] = {}
+        self.mean_aim = sum(c.aim for c in settings.classes) / max(1, len(settings.classes))
+
+    # --- events -------------------------------------------------------------------------------------
+
+    def handle(self, now: float, events: Iterable[Event]) -> list[Action]:
+        """Take in a batch, act at once on what the rules hang on, and run the slot when it is due."""
+        starting, self.now = self.slot_at == -math.inf, now
+        self.actions, self.lines = [], {}
+        self.outbox.advance(now)
+        due = starting
+        if starting and self.settings.list_on_request:
+            self.actions.append(face.Subscribe())
+        for event in events:
+            due = self.take(event) or due
+        if self.settings.slices:
+            self.keep_slices()
+        else:
+            if due or (self.reported and now - self.slot_at >= 0.6 * self.settings.cycle):
+                self.run_slot(first=starting)
+            self.withdraw_and_guard()
+            self.bind_joined()
+        self.outbox.charge(self.proxies, self.lines)
+        return self.actions
+
+    def take(self, event: Event) -> bool:
+        """Update what is known; true if the slot timer fired."""
+        match event:
+            case face.ServerList():
+                self.take_list(event)
+            case face.ServerReport():
+                self.take_report(event)
+            case face.DemandReport():
+                self.take_demand(event)
+            case face.ProxyJoined(proxy, zone, rate, _):
+                even = bounded(rate, 0.0, NO_LIMIT) / max(1, len(self.settings.classes))
+                self.proxies[proxy] = ProxyView(zone, [even] * len(self.settings.classes))
+            case face.ProxyLeft(proxy):
+                self.proxies.pop(proxy, None)
+            case face.PeerMessage(sender, payload):
+                self.peers[sender] = (self.now, read_peer(payload))
+            case face.TimerFired(token):
+                if token == LIST_TOKEN:
+                    self.actions.append(face.Subscribe())
+                return token == SLOT_TOKEN + self.slot
+            case face.SliceGranted(table, granted):
+                self.slices.pop(table, None)
+                if granted:
+                    self.slices[table] = {}
+            case face.SliceLine(table, server, weight):
+                self.slices.setdefault(table, {})[server] = weight
+            case _:
+                pass
+        return False
+
+    # --- the server list ----------------------------------------------------------------------------
+
+    def take_list(self, update: face.ServerList) -> None:
+        if update.scope is face.ListScope.FAILED:
+            wait = self.settings.cycle * (0.5 + self.random.random())
+            self.actions.append(face.SetTimer(wait, LIST_TOKEN))
+            return
+        for entry in update.entries:
+            self.take_entry(entry)
+        if update.scope is not face.ListScope.CHANGES and not self.settings.only_draining_binds:
+            listed = {entry.server for entry in update.entries}
+            for server in [s for s in self.servers if s not in listed]:
+                self.drop(server)
+
+    def take_entry(self, entry: ServerEntry) -> None:
+        known = self.servers.get(entry.server)
+        if entry.availability is face.Availability.GONE:
+            if not self.settings.only_draining_binds:
+                self.drop(entry.server)
+        elif known is None:
+            self.servers[entry.server] = ServerView(entry)
+        else:
+            if entry.started > known.entry.started:  # same id, new process: nothing measured holds any more
+                self.servers[entry.server] = ServerView(entry, capacity=known.capacity, rate=known.rate)
+                self.urgent[entry.server] = None
+            if entry.availability is not known.entry.availability:
+                self.urgent[entry.server] = None
+            self.servers[entry.server].entry = entry
+
+    def drop(self, server: Server) -> None:
+        if self.servers.pop(server, None):
+            self.urgent[server] = None
+
+    def open_to(self, view: ServerView, place: int, zone: int) -> bool:
+        wanted, entry = self.settings.classes[place], view.entry
+        return (
+            entry.availability is face.Availability.READY
+            and (not wanted.open_zones or entry.zone in wanted.open_zones)
+            and (not wanted.open_kinds or entry.kind in wanted.open_kinds)
+            and (not wanted.zone_bound or entry.zone == zone)
+        )
+
+    def warmth(self, view: ServerView) -> float:
+        """The share of its capacity that a server surely has by now."""
+        if view.entry.started <= 0 or self.settings.cold_time <= 0:
+            return 1.0
+        age = bounded((self.now - view.entry.started) / self.settings.cold_time, 0.0, 1.0)
+        return self.settings.cold_share + (1.0 - self.settings.cold_share) * age
+
+    # --- reports ------------------------------------------------------------------------------------
+
+    def take_report(self, report: face.ServerReport) -> None:
+        view = self.servers.get(report.server)
+        if view is None or report.tries <= 0 or not 0 < report.window < math.inf:
+            return
+        self.reported = True
+        failures = min(report.failures, report.tries)
+        slow = ERROR_AIMS * self.mean_aim  # an error counts as a slow answer: failing fast attracts nothing
+        good = bounded(report.mean_time, 0.0, slow)
+        answer = (good * (report.tries - failures) + slow * failures) / report.tries
+        gain = report.tries / (report.tries + EVIDENCE)
+        before = view.delay.get(report.zone, answer)
+        view.delay[report.zone] = before + gain * (answer - before)
+        view.tries += report.tries * 1000.0 / report.window
+        view.evidence = min(view.evidence + report.tries, 4 * EJECT_TRIES)
+        gain = report.tries / (report.tries + EJECT_TRIES)
+        view.failing += gain * (failures / report.tries - view.failing)
+        for name, value in zip(self.settings.load_columns, report.load, strict=False):
+            if 0 <= value < math.inf:
+                before = view.load.get(name, value)
+                view.load[name] = before + SMOOTHING * (value - before)
+
+    def take_demand(self, report: face.DemandReport) -> None:
+        proxy = self.proxies.get(report.proxy)
+        if proxy is None or not 0 < report.window < math.inf or report.request_class >= len(proxy.demand):
+            return
+        seen = report.requests * 1000.0 / report.window
+        proxy.demand[report.request_class] += 0.5 * (seen - proxy.demand[report.request_class])
+
+    # --- the slot -----------------------------------------------------------------------------------
+
+    def run_slot(self, first: bool) -> None:
+        if self.reported:
+            self.update_estimates()
+            self.judge_health()
+            self.set_shedding()
+            self.tell_peers()
+        elif first or not any(view.rate for view in self.servers.values()):
+            self.expect_capacity()
+        self.reported = False
+        self.move_tables()
+        self.send_changes()
+        self.slot += 1
+        self.slot_at = self.now
+        self.actions.append(face.SetTimer(1.25 * self.settings.cycle, SLOT_TOKEN + self.slot))
+
+    def update_estimates(self) -> None:
+        usual = self.usual_delay()
+        for view in self.servers.values():
+            view.rate += SMOOTHING * (view.tries - view.rate)
+            if not view.tries:  # silence is no health and no death: drift to the average
+                view.evidence *= 1 - FADE
+                for zone in view.delay:
+                    view.delay[zone] += FADE * (usual - view.delay[zone])
+            view.tries = 0.0
+        self.expect_capacity()
+        for view in self.servers.values():
+            if self.warmth(view) >= 1.0 and view.rate > 0:
+                self.learn_capacity(view, usual)
+
+    def usual_delay(self) -> float:
+        heard = sorted(view.mean_delay(0.0) for view in self.servers.values() if view.delay)
+        return heard[len(heard) // 2] if heard else 0.5 * self.mean_aim
+
+    def expect_capacity(self) -> None:
+        """Give servers not yet measured what servers of their kind have, by listed size."""
+        total = sum(sum(p.demand) for p in self.proxies.values())
+        sizes = max(1.0, sum(size_of(v) for v in self.servers.values()))
+        guess = total * self.settings.planners / TARGET_USE / sizes
+        for view in self.servers.values():
+            if view.capacity <= 0 or view.rate <= 0:
+                peers = [v.capacity / size_of(v) for v in self.servers.values()
+                         if v.entry.kind == view.entry.kind and v.rate > 0 and v.capacity > 0]
+                view.capacity = max(1e-3, size_of(view) * (sum(peers) / len(peers) if peers else guess))
+
+    def learn_capacity(self, view: ServerView, usual: float) -> None:
+        """Served rate over use where use is reported, else by how its answer time compares."""
+        total = view.rate + self.others_rate(view)
+        use = view.load.get("utilization")
+        if use is not None:
+            heard = total / bounded(use, 0.1, 1.0)
+        else:
+            compared = bounded(usual / max(1e-3, view.mean_delay(usual)), 0.5, 1.5)
+            heard = max(view.capacity * compared, total / 0.95)
+        view.capacity += CAPACITY_GAIN * (heard - view.capacity)
+
+    def others_rate(self, view: ServerView) -> float:
+        """What other planners' proxies send there: from peers, else from the server's own load report."""
+        since = self.now - PEER_LIFE * self.settings.cycle
+        fresh = [rates for at, rates in self.peers.values() if at > since]
+        heard = sum(rates.get(view.entry.server, 0.0) for rates in fresh)
+        if len(fresh) >= self.settings.planners - 1:
+            return heard
+        if "outstanding" in view.load and view.delay:
+            total = view.load["outstanding"] * 1000.0 / max(1.0, view.mean_delay(1.0))
+        elif "utilization" in view.load:
+            total = view.load["utilization"] * view.capacity
+        else:
+            total = view.rate * self.settings.planners
+        return max(heard, total - view.rate)
+
+    def tell_peers(self) -> None:
+        if self.settings.peers_allowed and self.settings.planners > 1:
+            known = sorted(((-v.rate, s) for s, v in self.servers.items() if v.rate > 0))[:PEER_LINES]
+            lines = [PEER_LINE.pack(server, min(65535, round(-rate * 10))) for rate, server in known]
+            self.actions.append(face.TellPeers(b"".join(lines)))
+
+    # --- health -------------------------------------------------------------------------------------
+
+    def judge_health(self) -> None:
+        """Eject servers that keep failing while most do not; never past the panic share."""
+        ready = [v for v in self.servers.values() if v.entry.availability is face.Availability.READY]
+        out = sum(1 for v in ready if self.ejected(v))
+        rates = sorted(v.failing for v in ready if v.rate > 0)
+        usual = rates[len(rates) // 2] if rates else 0.0
+        for view in sorted(ready, key=lambda v: (-v.failing, v.entry.server)):
+            bad = view.failing > max(EJECT_AT, 3 * usual) and view.evidence >= EJECT_TRIES
+            if bad and not self.ejected(view) and out + 1 <= PANIC_SHARE * len(ready):
+                view.hold = min(HOLD_MOST, max(HOLD_CYCLES, 2 * view.hold))
+                view.ejected_until = self.now + view.hold * self.settings.cycle
+                self.urgent[view.entry.server] = None
+                out += 1
+            elif view.ejected_until and not self.ejected(view):
+                view.ejected_until, view.failing, view.evidence = 0.0, 0.0, 0.0
+                view.delay.clear()
+
+    def ejected(self, view: ServerView) -> bool:
+        return view.ejected_until > self.now
+
+    # --- the spread ---------------------------------------------------------------------------------
+
+    def spread(self) -> dict[tuple[int, int], dict[Server, float]]:
+        """Each zone's demand per class over servers, as requests a second: the design's mechanism."""
+        usual = self.usual_delay()
+        present = {s: v.capacity * self.warmth(v) for s, v in self.servers.items()}
+        room = {s: self.room(v, present[s]) for s, v in self.servers.items()}
+        placed: dict[tuple[int, int], dict[Server, float]] = {}
+        for place in sorted(range(len(self.settings.classes)), key=lambda p: (self.openness(p), p)):
+            zones = sorted({t.zone for t in self.tables.values() if t.place == place})
+            attraction = {z: self.attraction(z, place, usual) for z in zones}
+            left = {z: max(1e-3, self.zone_demand(z, place)) for z in zones}
+            for zone in zones:
+                placed[zone, place] = dict.fromkeys(attraction[zone], 0.0)
+            for _ in range(ROUNDS):
+                fill(left, attraction, room, {z: placed[z, place] for z in zones})
+            for zone in zones:
+                self.place_excess(left[zone], placed[zone, place], present)
+        return placed
+
+    def openness(self, place: int) -> int:
+        return sum(1 for v in self.servers.values() if self.open_to(v, place, v.entry.zone))
+
+    def room(self, view: ServerView, present: float) -> float:
+        free = TARGET_USE * present - self.others_rate(view)
+        return max(0.02 * present, free)
+
+    def attraction(self, zone: int, place: int, usual: float) -> dict[Server, float]:
+        found = {}
+        for server, view in self.servers.items():
+            if self.open_to(view, place, zone):
+                delay = view.delay.get(zone, view.mean_delay(usual))
+                cost = self.settings.cross_zone_price if view.entry.zone != zone else 0.0
+                score = max(0.02, delay / self.mean_aim) + COST_V * cost
+                found[server] = score**-SCORE_POWER if not self.ejected(view) else 0.0
+        return found
+
+    def zone_demand(self, zone: int, place: int) -> float:
+        return sum(p.demand[place] for p in self.proxies.values() if p.zone == zone)
+
+    def place_excess(self, left: float, placed: dict[Server, float], present: dict[Server, float]) -> None:
+        """All demand is placed: what found no room spreads by capacity, warm servers first."""
+        if left <= 1e-9:
+            return
+        sound = [s for s in placed if not self.ejected(self.servers[s])]
+        able = [s for s in sound if self.warmth(self.servers[s]) >= 1.0] or sound or list(placed)
+        total = sum(present[s] for s in able)
+        for server in able:
+            placed[server] += left * present[server] / total
+
+    # --- tables -------------------------------------------------------------------------------------
+
+    def move_tables(self) -> None:
+        """Move every table a capped step towards the spread."""
+        goals = self.spread()
+        for key, table in self.tables.items():
+            goal = self.as_shares(goals[key])
+            for server in [*goal, *(s for s in table.shares if s not in goal)]:
+                old, new = table.shares.get(server, 0.0), goal.get(server, 0.0)
+                most = STEP * max(old, new)
+                if server in self.urgent or not table.sent or server not in self.servers:
+                    most = 1.0
+                table.shares[server] = old + bounded(new - old, -most, most)
+            table.shares = {s: w for s, w in table.shares.items() if w >= LEAST_SHARE or s in goal}
+
+    def as_shares(self, placed: dict[Server, float]) -> dict[Server, float]:
+        total = sum(placed.values())
+        even = 1.0 / max(1, len(placed))
+        shares = {s: rate / total for s, rate in placed.items()} if total > 0 else dict.fromkeys(placed, even)
+        kept = {s: w for s, w in shares.items() if w >= LEAST_SHARE}
+        for server in placed:
+            if self.ejected(self.servers[server]):
+                kept[server] = TRICKLE * even
+        return kept
+
+    def changed_lines(self, table: Table, only: Iterable[Server] | None = None) -> list[face.SetWeight]:
+        names = list(dict.fromkeys([*table.shares, *table.sent])) if only is None else list(only)
+        changes = []
+        for server in names:
+            new, old = table.shares.get(server, 0.0), table.sent.get(server, 0.0)
+            moved = abs(new - old) > WORTH_SENDING * max(new, old)
+            if moved or (old > 0) != (new > 0):
+                changes.append(face.SetWeight(table.number, server, new))
+        return changes
+
+    def members(self, table: Table) -> list[int]:
+        return [n for n, p in self.proxies.items() if p.zone == table.zone and p.bound]
+
+    def send_changes(self) -> None:
+        """Send what moved, most moved tables first, within the pace and the message cap."""
+        budget = PACE * self.settings.channel_rate * self.settings.cycle / 1000.0
+        for table in self.tables.values():
+            users = self.members(table)
+            changes = self.changed_lines(table)
+            level = self.wanted_level(table)
+            cost = len(users) * (len(changes) + 1 + self.settings.overhead)
+            writable = all(self.outbox.may_write(self.proxies[u], DELTA_MESSAGES) for u in users)
+            if not writable or cost > budget or not self.outbox.fits(cost, DELTA_BACKLOG):
+                continue
+            if changes or differs(level, table.level):
+                budget -= cost
+                self.write_lines(table, users, changes)
+                self.write_level(table, users, level)
+
+    def write_lines(self, table: Table, users: list[int], changes: list[face.SetWeight]) -> None:
+        for change in changes:
+            table.sent[change.server] = change.weight
+            if change.weight <= 0:
+                del table.sent[change.server]
+        self.actions += changes
+        for user in users:
+            self.lines[user] = self.lines.get(user, 0) + len(changes)
+
+    def withdraw_and_guard(self) -> None:
+        """Lines of servers that drained, went, restarted or were ejected change at once in every table."""
+        if not self.urgent:
+            return
+        self.expect_capacity()
+        self.move_tables()
+        waiting = False
+        for table in self.tables.values():
+            users = self.members(table)
+            lost = all(server not in table.shares or server in self.urgent for server in table.sent)
+            changes = self.changed_lines(table, None if lost else self.urgent)
+            if not changes:
+                continue
+            if all(self.outbox.may_write(self.proxies[u], 1.0) for u in users if u not in self.lines):
+                self.write_lines(table, users, changes)
+            else:
+                waiting = True
+        if not waiting:
+            self.urgent.clear()
+
+    def bind_joined(self) -> None:
+        """A proxy that joined gets its zone's whole tables, which replace the standing ones."""
+        for number, proxy in self.proxies.items():
+            if proxy.bound:
+                continue
+            tables = [self.table_for(proxy.zone, place) for place in range(len(self.settings.classes))]
+            lines = sum(len(table.sent) + 2 for table in tables)
+            if not self.outbox.fits(lines + sum(self.lines.values()), JOIN_BACKLOG):
+                return
+            for table in tables:
+                self.actions.append(face.AssignTable(number, table.number, (table.place,)))
+            self.lines[number] = lines
+            proxy.bound = True
+
+    def table_for(self, zone: int, place: int) -> Table:
+        table = self.tables.get((zone, place))
+        if table is None:
+            table = Table(zone * len(self.settings.classes) + place, zone, place)
+            self.tables[zone, place] = table
+            self.expect_capacity()
+            self.move_tables()
+            self.write_lines(table, [], self.changed_lines(table))
+            self.write_level(table, [], self.wanted_level(table))
+        return table
+
+    # --- admission and further tries ----------------------------------------------------------------
+
+    def set_shedding(self) -> None:
+        """Shed more while most of the traffic meets slow answers, less as soon as it does not."""
+        loads = sorted((v.mean_delay(0.0), v.rate) for v in self.servers.values() if v.delay and v.rate > 0)
+        left, middle = 0.5 * sum(rate for _, rate in loads), 0.0
+        for delay, rate in loads:
+            if left > 0:
+                middle = delay
+            left -= rate
+        strain = middle / (SLOW_AIMS * self.mean_aim) - 1.0
+        step = bounded(SHED_STEP * strain, -SHED_STEP / 2, SHED_STEP)
+        self.shed = bounded(self.shed + step, 0.0, SHED_MOST)
+
+    def admitted(self, place: int) -> float:
+        """The share of a class let in: the least worth goes first."""
+        demand = [sum(p.demand[k] for p in self.proxies.values()) for k in range(len(self.settings.classes))]
+        cut = self.shed * sum(demand)
+        for k in sorted(range(len(demand)), key=lambda k: (self.settings.classes[k].worth, k)):
+            refused = min(cut, (1 - LEAST_LEVEL) * demand[k])
+            cut -= refused
+            if k == place:
+                return 1.0 - refused / demand[k] if demand[k] > 0 else 1.0
+        return 1.0
+
+    def wanted_level(self, table: Table) -> tuple[float, Retry]:
+        share = self.admitted(table.place)
+        level = 1.0 if share > 0.99 else share
+        if self.settings.admission == "rate":
+            rates = [p.demand[table.place] for p in self.proxies.values() if p.zone == table.zone]
+            level = NO_LIMIT if share > 0.99 else rate_cap(rates, share)
+        return level, self.safe_retry(table.place)
+
+    def safe_retry(self, place: int) -> Retry:
+        """A further try after any failure only where a second run does no harm, and not under overload."""
+        wanted = self.settings.classes[place]
+        covered = wanted.effect == "by_key" and wanted.group == "all" and wanted.key_window >= wanted.deadline
+        if (wanted.effect == "repeatable" or covered) and self.shed <= 0:
+            return Retry.ONCE
+        return Retry.ONCE_IF_UNTRIED
+
+    def write_level(self, table: Table, users: list[int], level: tuple[float, Retry]) -> None:
+        if differs(level, table.level):
+            table.level = level
+            self.actions.append(face.SetAdmission(table.number, (table.place,), *level))
+            for user in users:
+                self.lines[user] = self.lines.get(user, 0) + 1
+
+    # --- sites with slices --------------------------------------------------------------------------
+
+    def keep_slices(self) -> None:
+        """A slice keeps its server while that is ready; else it goes to the ready server with fewest."""
+        ready = sorted(s for s, v in self.servers.items() if v.entry.availability is face.Availability.READY)
+        held = dict.fromkeys(ready, 0)
+        for lines in self.slices.values():
+            for server in lines:
+                held[server] = held.get(server, 0) + 1
+        for number, lines in self.slices.items():
+            stale = [s for s in lines if s not in ready]
+            if ready and len(stale) == len(lines):
+                chosen = min(ready, key=lambda s: (held[s], s))
+                held[chosen] += 1
+                self.actions.append(face.SetWeight(number, chosen, 1.0))
+                if not self.settings.exclusive:
+                    self.actions += [face.SetWeight(number, s, 0.0) for s in stale]
+                self.slices[number] = {chosen: 1.0}
+
+
+def fill(
+    left: dict[int, float],
+    attraction: dict[int, dict[Server, float]],
+    room: dict[Server, float],
+    placed: dict[int, dict[Server, float]],
+) -> None:
+    """One round: each zone asks in proportion to room times attraction, servers grant up to their room."""
+    asked: dict[Server, float] = {}
+    asks: dict[int, dict[Server, float]] = {}
+    for zone, pull in attraction.items():
+        weight = {s: room[s] * a for s, a in pull.items()}
+        total = sum(weight.values())
+        asks[zone] = {s: left[zone] * w / total for s, w in weight.items()} if total > 0 else {}
+        for server, rate in asks[zone].items():
+            asked[server] = asked.get(server, 0.0) + rate
+    granted = {s: min(1.0, room[s] / rate) if rate > 0 else 0.0 for s, rate in asked.items()}
+    for zone, wishes in asks.items():
+        for server, rate in wishes.items():
+            placed[zone][server] += rate * granted[server]
+            left[zone] -= rate * granted[server]
+    for server, rate in asked.items():
+        room[server] -= rate * granted[server]
+
+
+def bounded(value: float, low: float, high: float) -> float:
+    """Clamp; what is no number counts as the low end."""
+    return min(high, max(low, value)) if value == value else low
+
+
+def size_of(view: ServerView) -> float:
+    return view.entry.size if 0 < view.entry.size < math.inf else 1.0
+
+
+def differs(new: tuple[float, Retry], old: tuple[float, Retry] | None) -> bool:
+    return old is None or new[1] != old[1] or abs(new[0] - old[0]) > WORTH_SENDING * max(new[0], old[0])
+
+
+def rate_cap(rates: list[float], share: float) -> float:
+    """The limit at each proxy that lets in this share of the rates together, large callers cut first."""
+    budget, ordered = share * sum(rates), sorted(rates)
+    for place, rate in enumerate(ordered):
+        rest = len(ordered) - place
+        if rate * rest >= budget:
+            return budget / rest
+        budget -= rate
+    return max(ordered, default=NO_LIMIT)
+
+
+def read_peer(payload: bytes) -> dict[Server, float]:
+    whole = len(payload) - len(payload) % PEER_LINE.size
+    return {Server(server): rate / 10 for server, rate in PEER_LINE.iter_unpack(payload[:whole])}
--- /dev/null
+++ b/stackwheel/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the policy and the simulator's wire."""
