--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -25,11 +25,15 @@
 ERROR_AIMS = 2.0  # an error counts as an answer this many aims late
 TARGET_USE = 0.7  # the design's: what share of capacity is filled before demand moves on
 CAPACITY_GAIN = 0.15
+LEAST_USE = 0.45  # the fleet is never taken to be less used than this
+LEVEL_RISE = 0.03  # capacity rises by this a slot while answers take under CALM_SPAN times the quickest
+CALM_SPAN, CALM_DRIFT = 1.3, 0.01
 CAPACITY_SPAN = 5.0  # an estimate stays within this multiple of what the list promises
 
 # Spread
-COST_V = 10.0  # V: aims of delay that one unit of cross-zone price is worth
-SCORE_POWER = 2.0
+COST_V = 30.0  # V: aims of delay that one unit of cross-zone price is worth
+SCORE_POWER = 3.0
+COLD_USE = 0.15  # of fall_multiple times what a cold server can do: the most it is given
 ROUNDS = 4  # of filling spare capacity before the rest counts as excess
 STEP = 0.2  # the design's: the most a weight moves in a slot, of itself or its target
 WORTH_SENDING = 0.1  # the design's: a line goes out when it moved by more than this
@@ -51,10 +55,12 @@
 SLOWEST = 0.2  # the queue is modelled as if the channel ran at this share of its rate
 
 # Admission
-SLOW_AIMS = 0.5  # more than half of the traffic slower than this many aims: overload
+SLOW_AIMS = 0.6  # more than half of the traffic slower than this many aims: overload
 SHED_STEP = 0.1
+SHED_BACK = 0.3  # of what is shed comes back in a calm slot
 SHED_MOST = 0.8
 LEAST_LEVEL = 0.05
+FURTHER_TRY = Retry.ONCE_IF_UNTRIED  # where a second run does no harm
 NO_LIMIT = 1e6  # requests a second at one proxy
 
 PEER_LIFE = 3.0  # cycles for which a peer's figures count
@@ -71,6 +77,7 @@
     capacity: float = 0.0  # requests a second when warm
     rate: float = 0.0  # tries a second of our own proxies
     tries: float = 0.0  # gathered since the last slot, as a rate
+    served: float = 0.0  # the share of them that got a good answer, smoothed
     delay: dict[int, float] = field(default_factory=dict)  # answer time by the proxies' zone
     failing: float = 0.0  # share of tries
     evidence: float = 0.0  # tries behind `failing`
@@ -148,6 +155,7 @@
         self.slot_at = -math.inf
         self.reported = False
         self.shed = 0.0
+        self.level = self.calm = 0.0
         self.slices: dict[int, dict[Server, float]] = {}
         self.mean_aim = sum(c.aim for c in settings.classes) / max(1, len(settings.classes))
 
@@ -270,6 +278,7 @@
         view.evidence = min(view.evidence + report.tries, 4 * EJECT_TRIES)
         gain = report.tries / (report.tries + EJECT_TRIES)
         view.failing += gain * (failures / report.tries - view.failing)
+        view.served = 1.0 - view.failing
         for name, value in zip(self.settings.load_columns, report.load, strict=False):
             if 0 <= value < math.inf:
                 before = view.load.get(name, value)
@@ -308,6 +317,7 @@
                 for zone in view.delay:
                     view.delay[zone] += FADE * (usual - view.delay[zone])
             view.tries = 0.0
+        self.learn_level(usual)
         self.expect_capacity()
         for view in self.servers.values():
             if self.warmth(view) >= 1.0 and view.rate > 0:
@@ -333,12 +343,21 @@
         total = view.rate + self.others_rate(view)
         use = view.load.get("utilization")
         if use is not None:
-            heard = total / bounded(use, 0.1, 1.0)
+            heard = total * view.served / bounded(use, 0.1, 1.0)
         else:
             compared = bounded(usual / max(1e-3, view.mean_delay(usual)), 0.5, 1.5)
-            heard = max(view.capacity * compared, total / 0.95)
+            heard = self.level * size_of(view) * compared
         view.capacity += CAPACITY_GAIN * (heard - view.capacity)
 
+    def learn_level(self, usual: float) -> None:
+        """Capacity per listed size of the fleet: load over target use, rising while answers stay quick."""
+        ready = [v for v in self.servers.values() if v.entry.availability is face.Availability.READY]
+        load = sum(v.rate + self.others_rate(v) for v in ready) / max(1.0, sum(size_of(v) for v in ready))
+        self.calm = min(usual, self.calm * (1 + CALM_DRIFT)) if self.calm else usual
+        if usual < CALM_SPAN * self.calm:
+            self.level *= 1 + LEVEL_RISE
+        self.level = bounded(self.level, load / TARGET_USE, load / LEAST_USE)
+
     def others_rate(self, view: ServerView) -> float:
         """What other planners' proxies send there: from peers, else from the server's own load report."""
         since = self.now - PEER_LIFE * self.settings.cycle
@@ -406,7 +425,9 @@
         return sum(1 for v in self.servers.values() if self.open_to(v, place, v.entry.zone))
 
     def room(self, view: ServerView, present: float) -> float:
-        free = TARGET_USE * present - self.others_rate(view)
+        cold_use = min(TARGET_USE, COLD_USE * self.settings.fall_multiple)
+        use = TARGET_USE if self.warmth(view) >= 1.0 else cold_use
+        free = use * present - self.others_rate(view)
         return max(0.02 * present, free)
 
     def attraction(self, zone: int, place: int, usual: float) -> dict[Server, float]:
@@ -415,7 +436,7 @@
             if self.open_to(view, place, zone):
                 delay = view.delay.get(zone, view.mean_delay(usual))
                 cost = self.settings.cross_zone_price if view.entry.zone != zone else 0.0
-                score = max(0.02, delay / self.mean_aim) + COST_V * cost
+                score = 1.0 + delay / self.mean_aim + COST_V * cost
                 found[server] = score**-SCORE_POWER if not self.ejected(view) else 0.0
         return found
 
@@ -551,7 +572,7 @@
                 middle = delay
             left -= rate
         strain = middle / (SLOW_AIMS * self.mean_aim) - 1.0
-        step = bounded(SHED_STEP * strain, -SHED_STEP / 2, SHED_STEP)
+        step = SHED_STEP * min(1.0, strain) if strain > 0 else -SHED_STEP / 2 - self.shed * SHED_BACK
         self.shed = bounded(self.shed + step, 0.0, SHED_MOST)
 
     def admitted(self, place: int) -> float:
@@ -578,7 +599,7 @@
         wanted = self.settings.classes[place]
         covered = wanted.effect == "by_key" and wanted.group == "all" and wanted.key_window >= wanted.deadline
         if (wanted.effect == "repeatable" or covered) and self.shed <= 0:
-            return Retry.ONCE
+            return FURTHER_TRY
         return Retry.ONCE_IF_UNTRIED
 
     def write_level(self, table: Table, users: list[int], level: tuple[float, Retry]) -> None:
