Pool answer times, fade stale zone figures, shed known surplus

Cause: answer times of zones that no longer used a server kept the fleet looking slow, so shedding stayed.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -21,7 +21,7 @@
 # Estimates (shares of a value, per slot)
 SMOOTHING = 0.3  # how far a rate or a load figure moves towards the newest report
 EVIDENCE = 10.0  # tries after which a report counts for half of an answer time
-FADE = 0.03  # how far an estimate nobody confirms drifts back to the average
+FADE, ZONE_FADE = 0.03, 0.2  # how far an estimate nobody confirms drifts to the average of all, of its server
 ERROR_AIMS = 2.0  # an error counts as an answer this many aims late
 TARGET_USE = 0.7  # the design's: what share of capacity is filled before demand moves on
 CAPACITY_GAIN = 0.15
@@ -57,6 +57,7 @@
 # Admission
 SLOW_AIMS = 0.6  # more than half of the traffic slower than this many aims: overload
 SHED_STEP = 0.1
+FULL_USE = 1.0  # of the capacity known from reported use: more demand than that is shed
 SHED_BACK = 0.3  # of what is shed comes back in a calm slot
 SHED_MOST = 0.8
 LEAST_LEVEL = 0.05
@@ -78,15 +79,17 @@
     rate: float = 0.0  # tries a second of our own proxies
     tries: float = 0.0  # gathered since the last slot, as a rate
     served: float = 0.0  # the share of them that got a good answer, smoothed
-    delay: dict[int, float] = field(default_factory=dict)  # answer time by the proxies' zone
+    answer: float | None = None  # mean answer time, errors counted as slow ones
+    delay: dict[int, float] = field(default_factory=dict)  # the same by the proxies' zone
+    heard: set[int] = field(default_factory=set)  # zones that reported since the last slot
     failing: float = 0.0  # share of tries
     evidence: float = 0.0  # tries behind `failing`
     load: dict[str, float] = field(default_factory=dict)
     ejected_until: float = 0.0
     hold: float = 0.0
 
-    def mean_delay(self, otherwise: float) -> float:
-        return sum(self.delay.values()) / len(self.delay) if self.delay else otherwise
+    def answer_time(self, otherwise: float) -> float:
+        return otherwise if self.answer is None else self.answer
 
 
 @dataclass(slots=True)
@@ -272,8 +275,9 @@
         good = bounded(report.mean_time, 0.0, slow)
         answer = (good * (report.tries - failures) + slow * failures) / report.tries
         gain = report.tries / (report.tries + EVIDENCE)
-        before = view.delay.get(report.zone, answer)
-        view.delay[report.zone] = before + gain * (answer - before)
+        view.answer = answer + (1 - gain) * (view.answer_time(answer) - answer)
+        view.delay[report.zone] = answer + (1 - gain) * (view.delay.get(report.zone, answer) - answer)
+        view.heard.add(report.zone)
         view.tries += report.tries * 1000.0 / report.window
         view.evidence = min(view.evidence + report.tries, 4 * EJECT_TRIES)
         gain = report.tries / (report.tries + EJECT_TRIES)
@@ -312,11 +316,13 @@
         usual = self.usual_delay()
         for view in self.servers.values():
             view.rate += SMOOTHING * (view.tries - view.rate)
-            if not view.tries:  # silence is no health and no death: drift to the average
+            if not view.heard and view.answer is not None:  # silence is no health and no death
                 view.evidence *= 1 - FADE
-                for zone in view.delay:
-                    view.delay[zone] += FADE * (usual - view.delay[zone])
+                view.answer += FADE * (usual - view.answer)
+            for zone in view.delay.keys() - view.heard:
+                view.delay[zone] += ZONE_FADE * (view.answer_time(usual) - view.delay[zone])
             view.tries = 0.0
+            view.heard.clear()
         self.learn_level(usual)
         self.expect_capacity()
         for view in self.servers.values():
@@ -324,7 +330,7 @@
                 self.learn_capacity(view, usual)
 
     def usual_delay(self) -> float:
-        heard = sorted(view.mean_delay(0.0) for view in self.servers.values() if view.delay)
+        heard = sorted(view.answer_time(0.0) for view in self.servers.values() if view.answer is not None)
         return heard[len(heard) // 2] if heard else 0.5 * self.mean_aim
 
     def expect_capacity(self) -> None:
@@ -345,7 +351,7 @@
         if use is not None:
             heard = total * view.served / bounded(use, 0.1, 1.0)
         else:
-            compared = bounded(usual / max(1e-3, view.mean_delay(usual)), 0.5, 1.5)
+            compared = bounded(usual / max(1e-3, view.answer_time(usual)), 0.5, 1.5)
             heard = self.level * size_of(view) * compared
         view.capacity += CAPACITY_GAIN * (heard - view.capacity)
 
@@ -365,8 +371,8 @@
         heard = sum(rates.get(view.entry.server, 0.0) for rates in fresh)
         if len(fresh) >= self.settings.planners - 1:
             return heard
-        if "outstanding" in view.load and view.delay:
-            total = view.load["outstanding"] * 1000.0 / max(1.0, view.mean_delay(1.0))
+        if "outstanding" in view.load and view.answer is not None:
+            total = view.load["outstanding"] * 1000.0 / max(1.0, view.answer_time(1.0))
         elif "utilization" in view.load:
             total = view.load["utilization"] * view.capacity
         else:
@@ -396,6 +402,7 @@
                 out += 1
             elif view.ejected_until and not self.ejected(view):
                 view.ejected_until, view.failing, view.evidence = 0.0, 0.0, 0.0
+                view.answer = None
                 view.delay.clear()
 
     def ejected(self, view: ServerView) -> bool:
@@ -434,7 +441,7 @@
         found = {}
         for server, view in self.servers.items():
             if self.open_to(view, place, zone):
-                delay = view.delay.get(zone, view.mean_delay(usual))
+                delay = view.delay.get(zone, view.answer_time(usual))
                 cost = self.settings.cross_zone_price if view.entry.zone != zone else 0.0
                 score = 1.0 + delay / self.mean_aim + COST_V * cost
                 found[server] = score**-SCORE_POWER if not self.ejected(view) else 0.0
@@ -565,7 +572,7 @@
 
     def set_shedding(self) -> None:
         """Shed more while most of the traffic meets slow answers, less as soon as it does not."""
-        loads = sorted((v.mean_delay(0.0), v.rate) for v in self.servers.values() if v.delay and v.rate > 0)
+        loads = sorted((v.answer_time(0.0), v.rate) for v in self.servers.values() if v.answer is not None and v.rate > 0)
         left, middle = 0.5 * sum(rate for _, rate in loads), 0.0
         for delay, rate in loads:
             if left > 0:
@@ -573,7 +580,16 @@
             left -= rate
         strain = middle / (SLOW_AIMS * self.mean_aim) - 1.0
         step = SHED_STEP * min(1.0, strain) if strain > 0 else -SHED_STEP / 2 - self.shed * SHED_BACK
-        self.shed = bounded(self.shed + step, 0.0, SHED_MOST)
+        self.shed = bounded(self.shed + step, self.surplus(), SHED_MOST)
+
+    def surplus(self) -> float:
+        """The share of demand beyond known capacity: shed before queues form, where use is reported."""
+        ready = [v for v in self.servers.values() if v.entry.availability is face.Availability.READY]
+        if not ready or any("utilization" not in v.load for v in ready if v.rate > 0):
+            return 0.0
+        free = sum(max(0.0, v.capacity * self.warmth(v) - self.others_rate(v)) for v in ready)
+        demand = sum(sum(p.demand) for p in self.proxies.values())
+        return bounded(1.0 - FULL_USE * free / demand, 0.0, SHED_MOST) if demand > 0 else 0.0
 
     def admitted(self, place: int) -> float:
         """The share of a class let in: the least worth goes first."""
