--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -21,10 +21,11 @@
 # Estimates (shares of a value, per slot)
 SMOOTHING = 0.3  # how far a rate or a load figure moves towards the newest report
 EVIDENCE = 10.0  # tries after which a report counts for half of an answer time
-FADE, ZONE_FADE = 0.03, 0.2  # how far an estimate nobody confirms drifts to the average of all, of its server
+FADE, ZONE_FADE = 0.1, 0.2  # how far an estimate nobody confirms drifts to the average of all, of its server
 ERROR_AIMS = 2.0  # an error counts as an answer this many aims late
 TARGET_USE = 0.7  # the design's: what share of capacity is filled before demand moves on
 CAPACITY_GAIN = 0.15
+CLEAN = 0.05  # share of failures up to which served rate over use is believed
 LEAST_USE = 0.45  # the fleet is never taken to be less used than this
 LEVEL_RISE = 0.03  # capacity rises by this a slot while answers take under CALM_SPAN times the quickest
 CALM_SPAN, CALM_DRIFT = 1.3, 0.01
@@ -33,7 +34,8 @@
 # Spread
 COST_V = 30.0  # V: aims of delay that one unit of cross-zone price is worth
 SCORE_POWER = 3.0
-COLD_USE = 0.15  # of fall_multiple times what a cold server can do: the most it is given
+COLD_USE = 0.22  # of fall_multiple times what a cold server can do: the most it is given
+JAM = 0.3  # share of tries failing at warm servers
 ROUNDS = 4  # of filling spare capacity before the rest counts as excess
 STEP = 0.2  # the design's: the most a weight moves in a slot, of itself or its target
 WORTH_SENDING = 0.1  # the design's: a line goes out when it moved by more than this
@@ -42,6 +44,8 @@
 # Health
 EJECT_AT = 0.3  # share of failures, over ...
 EJECT_TRIES = 6.0  # ... about so many tries
+DEAD = 0.8  # share of failures that ejects however slow the rest
+CROWDED = 2.0  # times the usual time of good answers: failing by load, not by sickness
 PANIC_SHARE = 0.4  # of the servers open to a class: never eject more
 TRICKLE = 0.05  # of an even share, while ejected
 HOLD_CYCLES = 3.0  # an ejection lasts so long at first, twice as long each time again
@@ -78,7 +82,7 @@
     capacity: float = 0.0  # requests a second when warm
     rate: float = 0.0  # tries a second of our own proxies
     tries: float = 0.0  # gathered since the last slot, as a rate
-    served: float = 0.0  # the share of them that got a good answer, smoothed
+    good: float | None = None  # mean time of good answers alone
     answer: float | None = None  # mean answer time, errors counted as slow ones
     delay: dict[int, float] = field(default_factory=dict)  # the same by the proxies' zone
     heard: set[int] = field(default_factory=set)  # zones that reported since the last slot
@@ -282,7 +286,8 @@
         view.evidence = min(view.evidence + report.tries, 4 * EJECT_TRIES)
         gain = report.tries / (report.tries + EJECT_TRIES)
         view.failing += gain * (failures / report.tries - view.failing)
-        view.served = 1.0 - view.failing
+        if failures < report.tries:
+            view.good = good + (1 - gain) * ((good if view.good is None else view.good) - good)
         for name, value in zip(self.settings.load_columns, report.load, strict=False):
             if 0 <= value < math.inf:
                 before = view.load.get(name, value)
@@ -349,7 +354,9 @@
         total = view.rate + self.others_rate(view)
         use = view.load.get("utilization")
         if use is not None:
-            heard = total * view.served / bounded(use, 0.1, 1.0)
+            if view.failing > CLEAN:  # what a jammed or sick server serves says nothing of its capacity
+                return
+            heard = total / bounded(use, 0.1, 1.0)
         else:
             compared = bounded(usual / max(1e-3, view.answer_time(usual)), 0.5, 1.5)
             heard = self.level * size_of(view) * compared
@@ -394,7 +401,7 @@
         rates = sorted(v.failing for v in ready if v.rate > 0)
         usual = rates[len(rates) // 2] if rates else 0.0
         for view in sorted(ready, key=lambda v: (-v.failing, v.entry.server)):
-            bad = view.failing > max(EJECT_AT, 3 * usual) and view.evidence >= EJECT_TRIES
+            bad = view.failing > max(EJECT_AT, 3 * usual) and view.evidence >= EJECT_TRIES and self.sick(view)
             if bad and not self.ejected(view) and out + 1 <= PANIC_SHARE * len(ready):
                 view.hold = min(HOLD_MOST, max(HOLD_CYCLES, 2 * view.hold))
                 view.ejected_until = self.now + view.hold * self.settings.cycle
@@ -402,9 +409,16 @@
                 out += 1
             elif view.ejected_until and not self.ejected(view):
                 view.ejected_until, view.failing, view.evidence = 0.0, 0.0, 0.0
-                view.answer = None
+                view.answer = view.good = None
                 view.delay.clear()
 
+    def sick(self, view: ServerView) -> bool:
+        """Failing while its good answers are as quick as others': a crowded server answers slowly instead,
+        and gets less by its score; ejecting it would only crowd the rest."""
+        goods = sorted(v.good for v in self.servers.values() if v.good is not None)
+        usual = goods[len(goods) // 2] if goods else 0.0
+        return view.failing > DEAD or view.good is None or view.good < CROWDED * usual
+
     def ejected(self, view: ServerView) -> bool:
         return view.ejected_until > self.now
 
@@ -439,14 +453,23 @@
 
     def attraction(self, zone: int, place: int, usual: float) -> dict[Server, float]:
         found = {}
+        jam = self.jammed(place, zone)
         for server, view in self.servers.items():
-            if self.open_to(view, place, zone):
+            if self.open_to(view, place, zone) and not (jam and self.warmth(view) < 1.0):
                 delay = view.delay.get(zone, view.answer_time(usual))
                 cost = self.settings.cross_zone_price if view.entry.zone != zone else 0.0
                 score = 1.0 + delay / self.mean_aim + COST_V * cost
                 found[server] = score**-SCORE_POWER if not self.ejected(view) else 0.0
         return found
 
+    def jammed(self, place: int, zone: int) -> bool:
+        """Proxies that avoid failing servers would all turn to a fresh one: none is let in during a jam.
+
+        Acts where proxies judge by strikes and most of the traffic fails; never on the last servers."""
+        warm = [v for v in self.servers.values() if self.open_to(v, place, zone) and self.warmth(v) >= 1.0]
+        failing = sum(v.failing * v.rate for v in warm)
+        return self.settings.strikes > 0 and failing > JAM * sum(v.rate for v in warm) > 0
+
     def zone_demand(self, zone: int, place: int) -> float:
         return sum(p.demand[place] for p in self.proxies.values() if p.zone == zone)
 
@@ -470,8 +493,9 @@
             for server in [*goal, *(s for s in table.shares if s not in goal)]:
                 old, new = table.shares.get(server, 0.0), goal.get(server, 0.0)
                 most = STEP * max(old, new)
-                if server in self.urgent or not table.sent or server not in self.servers:
-                    most = 1.0
+                view = self.servers.get(server)
+                if view is None or server in self.urgent or not table.sent or self.warmth(view) < 1.0:
+                    most = 1.0  # what is cold or gone has a goal that is safe, or must be, at once
                 table.shares[server] = old + bounded(new - old, -most, most)
             table.shares = {s: w for s, w in table.shares.items() if w >= LEAST_SHARE or s in goal}
 
@@ -572,7 +596,9 @@
 
     def set_shedding(self) -> None:
         """Shed more while most of the traffic meets slow answers, less as soon as it does not."""
-        loads = sorted((v.answer_time(0.0), v.rate) for v in self.servers.values() if v.answer is not None and v.rate > 0)
+        sound = [v for v in self.servers.values() if v.rate > 0 and not self.ejected(v)]
+        heard = [v for v in sound if v.answer is not None]
+        loads = sorted((v.answer_time(0.0), v.rate) for v in heard)
         left, middle = 0.5 * sum(rate for _, rate in loads), 0.0
         for delay, rate in loads:
             if left > 0:
--- a/stackwheel/drill/settings.py
+++ b/stackwheel/drill/settings.py
@@ -109,6 +109,7 @@
         pick=read.word("family_info.lb_method", defaults.pick, ("weighted", "round", "two")),
         usual_retry=read_retry(read, defaults),
         try_factor=read.number("family_info.try_factor", defaults.try_factor),
+        strikes=read.whole("family_info.strikes", defaults.strikes),
         slices=read.whole("family_info.key_ranges", defaults.slices),
         exclusive=read.flag("family_info.exclusive", defaults.exclusive),
         drain_grace=read.number("obligations.drain_grace", defaults.drain_grace),
--- a/stackwheel/interface.py
+++ b/stackwheel/interface.py
@@ -74,6 +74,7 @@
     pick: str = "weighted"  # weighted, round or two
     usual_retry: Retry = Retry.ONCE_IF_UNTRIED
     try_factor: float = 1.0
+    strikes: int = 0  # failures in a row after which a proxy avoids a server for a while; 0: never
     slices: int = 0  # 0: tables are bound to proxies; else a table per slice
     exclusive: bool = False
     drain_grace: float = 2000.0
