--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -35,7 +35,7 @@
 COST_V = 30.0  # V: aims of delay that one unit of cross-zone price is worth
 SCORE_POWER = 3.0
 COLD_USE = 0.22  # of fall_multiple times what a cold server can do: the most it is given
-JAM = 0.3  # share of tries failing at warm servers
+JAM = 0.2  # share of tries failing at warm servers
 ROUNDS = 4  # of filling spare capacity before the rest counts as excess
 STEP = 0.2  # the design's: the most a weight moves in a slot, of itself or its target
 WORTH_SENDING = 0.1  # the design's: a line goes out when it moved by more than this
@@ -55,7 +55,7 @@
 PACE = 0.4  # of the rate, for changes
 DELTA_BACKLOG = 0.4
 JOIN_BACKLOG = 0.8
-DELTA_MESSAGES = 0.5
+DELTA_MESSAGES = 0.6
 SLOWEST = 0.2  # the queue is modelled as if the channel ran at this share of its rate
 
 # Admission
@@ -107,6 +107,11 @@
     sent: dict[Server, float] = field(default_factory=dict)
     level: tuple[float, Retry] | None = None
 
+    def scale(self) -> float:
+        both = [s for s in self.sent if s in self.shares]
+        shares = sum(self.shares[s] for s in both)
+        return sum(self.sent[s] for s in both) / shares if shares > 0 else 1.0
+
 
 @dataclass(slots=True)
 class ProxyView:
@@ -313,6 +318,8 @@
         self.reported = False
         self.move_tables()
         self.send_changes()
+        for table in self.tables.values():
+            self.urgent.update(dict.fromkeys(self.overweight(table)))
         self.slot += 1
         self.slot_at = self.now
         self.actions.append(face.SetTimer(1.25 * self.settings.cycle, SLOT_TOKEN + self.slot))
@@ -510,15 +517,21 @@
         return kept
 
     def changed_lines(self, table: Table, only: Iterable[Server] | None = None) -> list[face.SetWeight]:
-        names = list(dict.fromkeys([*table.shares, *table.sent])) if only is None else list(only)
+        """Lines that moved by over a tenth, on the scale of those that stay: only proportions count."""
+        scale = table.scale()
+        names = dict.fromkeys([*table.shares, *table.sent]) if only is None else only
         changes = []
         for server in names:
-            new, old = table.shares.get(server, 0.0), table.sent.get(server, 0.0)
-            moved = abs(new - old) > WORTH_SENDING * max(new, old)
-            if moved or (old > 0) != (new > 0):
+            new, old = scale * table.shares.get(server, 0.0), table.sent.get(server, 0.0)
+            if abs(new - old) > WORTH_SENDING * max(new, old) or (old > 0) != (new > 0):
                 changes.append(face.SetWeight(table.number, server, new))
         return changes
 
+    def overweight(self, table: Table) -> list[Server]:
+        """Cold servers that hold more of a table than is safe, since other lines left it."""
+        cold = [s for s in table.sent if s in self.servers and self.warmth(self.servers[s]) < 1.0]
+        return [s for s in cold if table.sent[s] > 1.2 * table.scale() * table.shares.get(s, 0.0)]
+
     def members(self, table: Table) -> list[int]:
         return [n for n, p in self.proxies.items() if p.zone == table.zone and p.bound]
 
@@ -551,16 +564,18 @@
         """Lines of servers that drained, went, restarted or were ejected change at once in every table."""
         if not self.urgent:
             return
+        self.urgent.update(dict.fromkeys(s for s, v in self.servers.items() if self.warmth(v) < 1.0))
         self.expect_capacity()
         self.move_tables()
         waiting = False
+        reserve = 1.0 if self.slot_at == self.now else DELTA_MESSAGES  # short of messages: wait for the slot
         for table in self.tables.values():
             users = self.members(table)
             lost = all(server not in table.shares or server in self.urgent for server in table.sent)
             changes = self.changed_lines(table, None if lost else self.urgent)
             if not changes:
                 continue
-            if all(self.outbox.may_write(self.proxies[u], 1.0) for u in users if u not in self.lines):
+            if all(self.outbox.may_write(self.proxies[u], reserve) for u in users if u not in self.lines):
                 self.write_lines(table, users, changes)
             else:
                 waiting = True
