Shed towards what is answered while strained; keep to known capacity

Cause: the threshold was above the answer times at which queues had long formed, and a fixed step overshot by seconds.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -59,10 +59,11 @@
 SLOWEST = 0.2  # the queue is modelled as if the channel ran at this share of its rate
 
 # Admission
-SLOW_AIMS = 0.6  # more than half of the traffic slower than this many aims: overload
-SHED_STEP = 0.1
-FULL_USE = 1.0  # of the capacity known from reported use: more demand than that is shed
-SHED_BACK = 0.3  # of what is shed comes back in a calm slot
+SLOW_AIMS = 0.4  # more than half of the traffic slower than this many aims: overload
+SLOW_CALM = 2.0  # ... and than so many times the quickest the fleet has been
+FULL_USE = 0.92  # of known capacity, or of what is answered under overload: more demand than that is shed
+SHED_GAIN = 0.5  # of the way there in a slot
+SHED_BACK = 0.2  # of what is shed comes back in a calm slot
 SHED_MOST = 0.8
 LEAST_LEVEL = 0.05
 FURTHER_TRY = Retry.ONCE_IF_UNTRIED  # where a second run does no harm
@@ -619,18 +620,22 @@
             if left > 0:
                 middle = delay
             left -= rate
-        strain = middle / (SLOW_AIMS * self.mean_aim) - 1.0
-        step = SHED_STEP * min(1.0, strain) if strain > 0 else -SHED_STEP / 2 - self.shed * SHED_BACK
-        self.shed = bounded(self.shed + step, self.surplus(), SHED_MOST)
+        demand = max(1e-3, sum(sum(p.demand) for p in self.proxies.values()))
+        if middle > max(SLOW_AIMS * self.mean_aim, SLOW_CALM * self.calm):
+            answered = sum(v.rate * (1.0 - v.failing) for v in self.servers.values())
+            goal = 1.0 - FULL_USE * answered / demand
+            self.shed += SHED_GAIN * max(0.0, goal - self.shed)
+        else:
+            self.shed -= SHED_BACK * (0.1 + self.shed)
+        self.shed = bounded(self.shed, 1.0 - FULL_USE * self.known_capacity() / demand, SHED_MOST)
+        self.shed = max(0.0, self.shed)
 
-    def surplus(self) -> float:
-        """The share of demand beyond known capacity: shed before queues form, where use is reported."""
+    def known_capacity(self) -> float:
+        """What the fleet can still do for us, where use is reported; without limit elsewhere."""
         ready = [v for v in self.servers.values() if v.entry.availability is face.Availability.READY]
         if not ready or any("utilization" not in v.load for v in ready if v.rate > 0):
-            return 0.0
-        free = sum(max(0.0, v.capacity * self.warmth(v) - self.others_rate(v)) for v in ready)
-        demand = sum(sum(p.demand) for p in self.proxies.values())
-        return bounded(1.0 - FULL_USE * free / demand, 0.0, SHED_MOST) if demand > 0 else 0.0
+            return math.inf
+        return sum(max(0.0, v.capacity * self.warmth(v) - self.others_rate(v)) for v in ready)
 
     def admitted(self, place: int) -> float:
         """The share of a class let in: the least worth goes first."""
