--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -36,6 +36,7 @@
 SCORE_POWER = 3.0
 COLD_USE = 0.22  # of fall_multiple times what a cold server can do: the most it is given
 JAM = 0.2  # share of tries failing at warm servers
+JAM_MARGIN = 1.5  # times its full capacity that a server must bear to be let in during a jam
 ROUNDS = 4  # of filling spare capacity before the rest counts as excess
 STEP = 0.2  # the design's: the most a weight moves in a slot, of itself or its target
 WORTH_SENDING = 0.1  # the design's: a line goes out when it moved by more than this
@@ -362,9 +363,9 @@
         total = view.rate + self.others_rate(view)
         use = view.load.get("utilization")
         if use is not None:
-            if view.failing > CLEAN:  # what a jammed or sick server serves says nothing of its capacity
-                return
             heard = total / bounded(use, 0.1, 1.0)
+            if view.failing > CLEAN:  # a sick server's quick errors must not look like capacity
+                heard = min(heard, view.capacity)
         else:
             compared = bounded(usual / max(1e-3, view.answer_time(usual)), 0.5, 1.5)
             heard = self.level * size_of(view) * compared
@@ -463,20 +464,21 @@
         found = {}
         jam = self.jammed(place, zone)
         for server, view in self.servers.items():
-            if self.open_to(view, place, zone) and not (jam and self.warmth(view) < 1.0):
+            if self.open_to(view, place, zone) and not (jam and self.warmth(view) < jam):
                 delay = view.delay.get(zone, view.answer_time(usual))
                 cost = self.settings.cross_zone_price if view.entry.zone != zone else 0.0
                 score = 1.0 + delay / self.mean_aim + COST_V * cost
                 found[server] = score**-SCORE_POWER if not self.ejected(view) else 0.0
         return found
 
-    def jammed(self, place: int, zone: int) -> bool:
-        """Proxies that avoid failing servers would all turn to a fresh one: none is let in during a jam.
+    def jammed(self, place: int, zone: int) -> float:
+        """Proxies that avoid failing servers all turn to a fresh one: in a jam the coldest are not let in.
 
-        Acts where proxies judge by strikes and most of the traffic fails; never on the last servers."""
+        Acts where proxies judge by strikes and much of the traffic fails. The warmth wanted, else 0."""
         warm = [v for v in self.servers.values() if self.open_to(v, place, zone) and self.warmth(v) >= 1.0]
         failing = sum(v.failing * v.rate for v in warm)
-        return self.settings.strikes > 0 and failing > JAM * sum(v.rate for v in warm) > 0
+        jam = self.settings.strikes > 0 and failing > JAM * sum(v.rate for v in warm) > 0
+        return JAM_MARGIN / max(1.0, self.settings.fall_multiple) if jam else 0.0
 
     def zone_demand(self, zone: int, place: int) -> float:
         return sum(p.demand[place] for p in self.proxies.values() if p.zone == zone)
