--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -36,7 +36,9 @@
 SCORE_POWER = 3.0
 COLD_USE = 0.22  # of fall_multiple times what a cold server can do: the most it is given
 JAM = 0.2  # share of tries failing at warm servers
-JAM_MARGIN = 1.5  # times its full capacity that a server must bear to be let in during a jam
+JAM_MARGIN = 2.4  # times its full capacity that a server must bear to be let in during a jam
+USES = (TARGET_USE, 0.85, 1.0)  # filled in turn: what exceeds the target still goes where there is most room
+LEAST_ROOM = 0.02  # of what a server can do, whatever others send there
 ROUNDS = 4  # of filling spare capacity before the rest counts as excess
 STEP = 0.2  # the design's: the most a weight moves in a slot, of itself or its target
 WORTH_SENDING = 0.1  # the design's: a line goes out when it moved by more than this
@@ -437,28 +439,33 @@
         """Each zone's demand per class over servers, as requests a second: the design's mechanism."""
         usual = self.usual_delay()
         present = {s: v.capacity * self.warmth(v) for s, v in self.servers.items()}
-        room = {s: self.room(v, present[s]) for s, v in self.servers.items()}
-        placed: dict[tuple[int, int], dict[Server, float]] = {}
-        for place in sorted(range(len(self.settings.classes)), key=lambda p: (self.openness(p), p)):
-            zones = sorted({t.zone for t in self.tables.values() if t.place == place})
-            attraction = {z: self.attraction(z, place, usual) for z in zones}
-            left = {z: max(1e-3, self.zone_demand(z, place)) for z in zones}
-            for zone in zones:
-                placed[zone, place] = dict.fromkeys(attraction[zone], 0.0)
-            for _ in range(ROUNDS):
-                fill(left, attraction, room, {z: placed[z, place] for z in zones})
-            for zone in zones:
-                self.place_excess(left[zone], placed[zone, place], present)
+        room = dict.fromkeys(self.servers, 0.0)
+        zones = {p: sorted({t.zone for t in self.tables.values() if t.place == p}) for p in self.by_openness()}
+        pull = {(z, p): self.attraction(z, p, usual) for p in zones for z in zones[p]}
+        left = {key: max(1e-3, self.zone_demand(*key)) for key in pull}
+        placed = {key: dict.fromkeys(pull[key], 0.0) for key in pull}
+        for use, before in zip(USES, (0.0, *USES), strict=False):
+            for server, view in self.servers.items():
+                room[server] += self.room(view, present[server], use) - self.room(view, present[server], before)
+            for place in zones:
+                keys = [(z, place) for z in zones[place]]
+                for _ in range(ROUNDS):
+                    fill(keys, left, pull, room, placed)
+        for key in pull:
+            self.place_excess(left[key], placed[key], present)
         return placed
 
-    def openness(self, place: int) -> int:
-        return sum(1 for v in self.servers.values() if self.open_to(v, place, v.entry.zone))
+    def by_openness(self) -> list[int]:
+        """Classes by how few servers are open to them: who has least choice is placed first."""
+        choice = [sum(1 for v in self.servers.values() if self.open_to(v, place, v.entry.zone))
+                  for place in range(len(self.settings.classes))]
+        return sorted(range(len(choice)), key=lambda place: (choice[place], place))
 
-    def room(self, view: ServerView, present: float) -> float:
-        cold_use = min(TARGET_USE, COLD_USE * self.settings.fall_multiple)
-        use = TARGET_USE if self.warmth(view) >= 1.0 else cold_use
-        free = use * present - self.others_rate(view)
-        return max(0.02 * present, free)
+    def room(self, view: ServerView, present: float, use: float) -> float:
+        """What we may send there before it is used beyond `use`; cold servers have a lower limit."""
+        if self.warmth(view) < 1.0:
+            use = min(use, TARGET_USE, COLD_USE * self.settings.fall_multiple)
+        return max(LEAST_ROOM * present if use > 0 else 0.0, use * present - self.others_rate(view))
 
     def attraction(self, zone: int, place: int, usual: float) -> dict[Server, float]:
         found = {}
@@ -693,26 +700,30 @@
                 self.slices[number] = {chosen: 1.0}
 
 
+Key = tuple[int, int]  # zone and class
+
+
 def fill(
-    left: dict[int, float],
-    attraction: dict[int, dict[Server, float]],
+    keys: list[Key],
+    left: dict[Key, float],
+    pull: dict[Key, dict[Server, float]],
     room: dict[Server, float],
-    placed: dict[int, dict[Server, float]],
+    placed: dict[Key, dict[Server, float]],
 ) -> None:
     """One round: each zone asks in proportion to room times attraction, servers grant up to their room."""
     asked: dict[Server, float] = {}
-    asks: dict[int, dict[Server, float]] = {}
-    for zone, pull in attraction.items():
-        weight = {s: room[s] * a for s, a in pull.items()}
+    asks: dict[Key, dict[Server, float]] = {}
+    for key in keys:
+        weight = {s: room[s] * a for s, a in pull[key].items()}
         total = sum(weight.values())
-        asks[zone] = {s: left[zone] * w / total for s, w in weight.items()} if total > 0 else {}
-        for server, rate in asks[zone].items():
+        asks[key] = {s: left[key] * w / total for s, w in weight.items()} if total > 0 else {}
+        for server, rate in asks[key].items():
             asked[server] = asked.get(server, 0.0) + rate
     granted = {s: min(1.0, room[s] / rate) if rate > 0 else 0.0 for s, rate in asked.items()}
-    for zone, wishes in asks.items():
+    for key, wishes in asks.items():
         for server, rate in wishes.items():
-            placed[zone][server] += rate * granted[server]
-            left[zone] -= rate * granted[server]
+            placed[key][server] += rate * granted[server]
+            left[key] -= rate * granted[server]
     for server, rate in asked.items():
         room[server] -= rate * granted[server]
 
