--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -11,7 +11,6 @@
 import math
 import random
 import struct
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -29,7 +28,7 @@
 LEAST_USE = 0.45  # the fleet is never taken to be less used than this
 LEVEL_RISE = 0.03  # capacity rises by this a slot while answers take under CALM_SPAN times the quickest
 CALM_SPAN, CALM_DRIFT = 1.3, 0.01
-CAPACITY_SPAN = 5.0  # an estimate stays within this multiple of what the list promises
+PEER_LIFE = 3.0  # cycles for which a peer's figures count
 
 # Spread
 COST_V = 30.0  # V: aims of delay that one unit of cross-zone price is worth
@@ -46,7 +45,7 @@
 
 # Health
 EJECT_AT = 0.3  # share of failures, over ...
-EJECT_TRIES = 6.0  # ... about so many tries
+EJECT_TRIES = 8.0  # ... about so many tries
 DEAD = 0.8  # share of failures that ejects however slow the rest
 CROWDED = 2.0  # times the usual time of good answers: failing by load, not by sickness
 PANIC_SHARE = 0.4  # of the servers open to a class: never eject more
@@ -72,10 +71,10 @@
 FURTHER_TRY = Retry.ONCE_IF_UNTRIED  # where a second run does no harm
 NO_LIMIT = 1e6  # requests a second at one proxy
 
-PEER_LIFE = 3.0  # cycles for which a peer's figures count
 PEER_LINE = struct.Struct(">6sH")
 PEER_LINES = 32  # what fits in one message
 SLOT_TOKEN, LIST_TOKEN = 1 << 32, 2 << 32
+Key = tuple[int, int]  # zone and class: what a table is for
 
 
 @dataclass(slots=True)
@@ -84,18 +83,20 @@
 
     entry: ServerEntry
     capacity: float = 0.0  # requests a second when warm
-    rate: float = 0.0  # tries a second of our own proxies
-    tries: float = 0.0  # gathered since the last slot, as a rate
+    rates: dict[int, float] = field(default_factory=dict)  # tries a second of our proxies, by their zone
     good: float | None = None  # mean time of good answers alone
     answer: float | None = None  # mean answer time, errors counted as slow ones
     delay: dict[int, float] = field(default_factory=dict)  # the same by the proxies' zone
     heard: set[int] = field(default_factory=set)  # zones that reported since the last slot
     failing: float = 0.0  # share of tries
-    evidence: float = 0.0  # tries behind `failing`
     load: dict[str, float] = field(default_factory=dict)
     ejected_until: float = 0.0
     hold: float = 0.0
 
+    @property
+    def rate(self) -> float:
+        return sum(self.rates.values())
+
     def answer_time(self, otherwise: float) -> float:
         return otherwise if self.answer is None else self.answer
 
@@ -121,7 +122,7 @@
 class ProxyView:
     zone: int
     demand: list[float]  # by class
-    written: deque[float] = field(default_factory=deque)
+    written: list[float] = field(default_factory=list)  # when messages went out
     bound: bool = False
 
 
@@ -142,8 +143,7 @@
 
     def may_write(self, proxy: ProxyView, share: float) -> bool:
         cap = self.settings.message_cap
-        while proxy.written and proxy.written[0] <= self.at - self.settings.message_window:
-            proxy.written.popleft()
+        proxy.written = [at for at in proxy.written if at > self.at - self.settings.message_window]
         return not cap or len(proxy.written) + 1 <= max(1.0, cap * share)
 
     def charge(self, proxies: dict[int, ProxyView], lines: dict[int, int]) -> None:
@@ -223,8 +223,6 @@
                     self.slices[table] = {}
             case face.SliceLine(table, server, weight):
                 self.slices.setdefault(table, {})[server] = weight
-            case _:
-                pass
         return False
 
     # --- the server list ----------------------------------------------------------------------------
@@ -250,7 +248,7 @@
             self.servers[entry.server] = ServerView(entry)
         else:
             if entry.started > known.entry.started:  # same id, new process: nothing measured holds any more
-                self.servers[entry.server] = ServerView(entry, capacity=known.capacity, rate=known.rate)
+                self.servers[entry.server] = ServerView(entry, known.capacity, known.rates)
                 self.urgent[entry.server] = None
             if entry.availability is not known.entry.availability:
                 self.urgent[entry.server] = None
@@ -260,6 +258,9 @@
         if self.servers.pop(server, None):
             self.urgent[server] = None
 
+    def ready(self) -> list[ServerView]:
+        return [v for v in self.servers.values() if v.entry.availability is face.Availability.READY]
+
     def open_to(self, view: ServerView, place: int, zone: int) -> bool:
         wanted, entry = self.settings.classes[place], view.entry
         return (
@@ -291,8 +292,8 @@
         view.answer = answer + (1 - gain) * (view.answer_time(answer) - answer)
         view.delay[report.zone] = answer + (1 - gain) * (view.delay.get(report.zone, answer) - answer)
         view.heard.add(report.zone)
-        view.tries += report.tries * 1000.0 / report.window
-        view.evidence = min(view.evidence + report.tries, 4 * EJECT_TRIES)
+        seen = report.tries * 1000.0 / report.window
+        view.rates[report.zone] = seen + (1 - SMOOTHING) * (view.rates.get(report.zone, 0.0) - seen)
         gain = report.tries / (report.tries + EJECT_TRIES)
         view.failing += gain * (failures / report.tries - view.failing)
         if failures < report.tries:
@@ -331,13 +332,11 @@
     def update_estimates(self) -> None:
         usual = self.usual_delay()
         for view in self.servers.values():
-            view.rate += SMOOTHING * (view.tries - view.rate)
             if not view.heard and view.answer is not None:  # silence is no health and no death
-                view.evidence *= 1 - FADE
                 view.answer += FADE * (usual - view.answer)
             for zone in view.delay.keys() - view.heard:
+                view.rates[zone] *= 1 - ZONE_FADE
                 view.delay[zone] += ZONE_FADE * (view.answer_time(usual) - view.delay[zone])
-            view.tries = 0.0
             view.heard.clear()
         self.learn_level(usual)
         self.expect_capacity()
@@ -346,14 +345,13 @@
                 self.learn_capacity(view, usual)
 
     def usual_delay(self) -> float:
-        heard = sorted(view.answer_time(0.0) for view in self.servers.values() if view.answer is not None)
-        return heard[len(heard) // 2] if heard else 0.5 * self.mean_aim
+        heard = [view.answer for view in self.servers.values() if view.answer is not None]
+        return median(heard) if heard else 0.5 * self.mean_aim
 
     def expect_capacity(self) -> None:
         """Give servers not yet measured what servers of their kind have, by listed size."""
-        total = sum(sum(p.demand) for p in self.proxies.values())
         sizes = max(1.0, sum(size_of(v) for v in self.servers.values()))
-        guess = total * self.settings.planners / TARGET_USE / sizes
+        guess = sum(self.demand()) * self.settings.planners / TARGET_USE / sizes
         for view in self.servers.values():
             if view.capacity <= 0 or view.rate <= 0:
                 peers = [v.capacity / size_of(v) for v in self.servers.values()
@@ -375,7 +373,7 @@
 
     def learn_level(self, usual: float) -> None:
         """Capacity per listed size of the fleet: load over target use, rising while answers stay quick."""
-        ready = [v for v in self.servers.values() if v.entry.availability is face.Availability.READY]
+        ready = self.ready()
         load = sum(v.rate + self.others_rate(v) for v in ready) / max(1.0, sum(size_of(v) for v in ready))
         self.calm = min(usual, self.calm * (1 + CALM_DRIFT)) if self.calm else usual
         if usual < CALM_SPAN * self.calm:
@@ -407,27 +405,25 @@
 
     def judge_health(self) -> None:
         """Eject servers that keep failing while most do not; never past the panic share."""
-        ready = [v for v in self.servers.values() if v.entry.availability is face.Availability.READY]
+        ready = self.ready()
         out = sum(1 for v in ready if self.ejected(v))
-        rates = sorted(v.failing for v in ready if v.rate > 0)
-        usual = rates[len(rates) // 2] if rates else 0.0
+        usual = median([v.failing for v in ready if v.rate > 0])
         for view in sorted(ready, key=lambda v: (-v.failing, v.entry.server)):
-            bad = view.failing > max(EJECT_AT, 3 * usual) and view.evidence >= EJECT_TRIES and self.sick(view)
+            bad = view.failing > max(EJECT_AT, 3 * usual) and self.sick(view)
             if bad and not self.ejected(view) and out + 1 <= PANIC_SHARE * len(ready):
                 view.hold = min(HOLD_MOST, max(HOLD_CYCLES, 2 * view.hold))
                 view.ejected_until = self.now + view.hold * self.settings.cycle
                 self.urgent[view.entry.server] = None
                 out += 1
             elif view.ejected_until and not self.ejected(view):
-                view.ejected_until, view.failing, view.evidence = 0.0, 0.0, 0.0
+                view.ejected_until = view.failing = 0.0
                 view.answer = view.good = None
-                view.delay.clear()
+                view.delay = dict.fromkeys(view.delay, self.usual_delay())
 
     def sick(self, view: ServerView) -> bool:
         """Failing while its good answers are as quick as others': a crowded server answers slowly instead,
         and gets less by its score; ejecting it would only crowd the rest."""
-        goods = sorted(v.good for v in self.servers.values() if v.good is not None)
-        usual = goods[len(goods) // 2] if goods else 0.0
+        usual = median([v.good for v in self.servers.values() if v.good is not None])
         return view.failing > DEAD or view.good is None or view.good < CROWDED * usual
 
     def ejected(self, view: ServerView) -> bool:
@@ -439,18 +435,17 @@
         """Each zone's demand per class over servers, as requests a second: the design's mechanism."""
         usual = self.usual_delay()
         present = {s: v.capacity * self.warmth(v) for s, v in self.servers.items()}
-        room = dict.fromkeys(self.servers, 0.0)
-        zones = {p: sorted({t.zone for t in self.tables.values() if t.place == p}) for p in self.by_openness()}
-        pull = {(z, p): self.attraction(z, p, usual) for p in zones for z in zones[p]}
-        left = {key: max(1e-3, self.zone_demand(*key)) for key in pull}
+        zones = sorted({table.zone for table in self.tables.values()})
+        order = self.by_openness()
+        pull = {(z, p): self.attraction(z, p, usual) for p in order for z in zones if (z, p) in self.tables}
+        left = {(z, p): max(1e-3, self.demand(z)[p]) for z, p in pull}
         placed = {key: dict.fromkeys(pull[key], 0.0) for key in pull}
-        for use, before in zip(USES, (0.0, *USES), strict=False):
-            for server, view in self.servers.items():
-                room[server] += self.room(view, present[server], use) - self.room(view, present[server], before)
-            for place in zones:
-                keys = [(z, place) for z in zones[place]]
+        used = dict.fromkeys(self.servers, 0.0)
+        for use in USES:
+            room = {s: max(0.0, self.room(v, present[s], use) - used[s]) for s, v in self.servers.items()}
+            for place in order:
                 for _ in range(ROUNDS):
-                    fill(keys, left, pull, room, placed)
+                    fill([key for key in pull if key[1] == place], left, pull, room, used, placed)
         for key in pull:
             self.place_excess(left[key], placed[key], present)
         return placed
@@ -465,7 +460,7 @@
         """What we may send there before it is used beyond `use`; cold servers have a lower limit."""
         if self.warmth(view) < 1.0:
             use = min(use, TARGET_USE, COLD_USE * self.settings.fall_multiple)
-        return max(LEAST_ROOM * present if use > 0 else 0.0, use * present - self.others_rate(view))
+        return max(LEAST_ROOM * present, use * present - self.others_rate(view))
 
     def attraction(self, zone: int, place: int, usual: float) -> dict[Server, float]:
         found = {}
@@ -487,8 +482,10 @@
         jam = self.settings.strikes > 0 and failing > JAM * sum(v.rate for v in warm) > 0
         return JAM_MARGIN / max(1.0, self.settings.fall_multiple) if jam else 0.0
 
-    def zone_demand(self, zone: int, place: int) -> float:
-        return sum(p.demand[place] for p in self.proxies.values() if p.zone == zone)
+    def demand(self, zone: int | None = None) -> list[float]:
+        """Requests a second by class, of all joined proxies or of a zone's."""
+        mine = [p.demand for p in self.proxies.values() if zone in (None, p.zone)]
+        return [sum(rates) for rates in zip(*mine, strict=True)] or [0.0] * len(self.settings.classes)
 
     def place_excess(self, left: float, placed: dict[Server, float], present: dict[Server, float]) -> None:
         """All demand is placed: what found no room spreads by capacity, warm servers first."""
@@ -562,13 +559,14 @@
                 self.write_level(table, users, level)
 
     def write_lines(self, table: Table, users: list[int], changes: list[face.SetWeight]) -> None:
-        for change in changes:
-            table.sent[change.server] = change.weight
-            if change.weight <= 0:
-                del table.sent[change.server]
-        self.actions += changes
+        table.sent.update((change.server, change.weight) for change in changes)
+        table.sent = {server: weight for server, weight in table.sent.items() if weight > 0}
+        self.order(users, *changes)
+
+    def order(self, users: list[int], *actions: Action) -> None:
+        self.actions += actions
         for user in users:
-            self.lines[user] = self.lines.get(user, 0) + len(changes)
+            self.lines[user] = self.lines.get(user, 0) + len(actions)
 
     def withdraw_and_guard(self) -> None:
         """Lines of servers that drained, went, restarted or were ejected change at once in every table."""
@@ -583,12 +581,11 @@
             users = self.members(table)
             lost = all(server not in table.shares or server in self.urgent for server in table.sent)
             changes = self.changed_lines(table, None if lost else self.urgent)
-            if not changes:
-                continue
-            if all(self.outbox.may_write(self.proxies[u], reserve) for u in users if u not in self.lines):
+            quiet = [u for u in users if u not in self.lines]  # others get a message in this reply anyway
+            if changes and all(self.outbox.may_write(self.proxies[u], reserve) for u in quiet):
                 self.write_lines(table, users, changes)
             else:
-                waiting = True
+                waiting = waiting or bool(changes)
         if not waiting:
             self.urgent.clear()
 
@@ -621,34 +618,28 @@
 
     def set_shedding(self) -> None:
         """Shed more while most of the traffic meets slow answers, less as soon as it does not."""
-        sound = [v for v in self.servers.values() if v.rate > 0 and not self.ejected(v)]
-        heard = [v for v in sound if v.answer is not None]
-        loads = sorted((v.answer_time(0.0), v.rate) for v in heard)
-        left, middle = 0.5 * sum(rate for _, rate in loads), 0.0
-        for delay, rate in loads:
-            if left > 0:
-                middle = delay
-            left -= rate
-        demand = max(1e-3, sum(sum(p.demand) for p in self.proxies.values()))
+        sound = [v for v in self.servers.values() if v.answer is not None and not self.ejected(v)]
+        middle = median([v.answer_time(0.0) for v in sound], [v.rate for v in sound])
+        demand = max(1e-3, sum(self.demand()))
         if middle > max(SLOW_AIMS * self.mean_aim, SLOW_CALM * self.calm):
             answered = sum(v.rate * (1.0 - v.failing) for v in self.servers.values())
             goal = 1.0 - FULL_USE * answered / demand
             self.shed += SHED_GAIN * max(0.0, goal - self.shed)
         else:
             self.shed -= SHED_BACK * (0.1 + self.shed)
-        self.shed = bounded(self.shed, 1.0 - FULL_USE * self.known_capacity() / demand, SHED_MOST)
-        self.shed = max(0.0, self.shed)
+        least = bounded(1.0 - FULL_USE * self.known_capacity() / demand, 0.0, SHED_MOST)
+        self.shed = bounded(self.shed, least, SHED_MOST)
 
     def known_capacity(self) -> float:
         """What the fleet can still do for us, where use is reported; without limit elsewhere."""
-        ready = [v for v in self.servers.values() if v.entry.availability is face.Availability.READY]
+        ready = self.ready()
         if not ready or any("utilization" not in v.load for v in ready if v.rate > 0):
             return math.inf
         return sum(max(0.0, v.capacity * self.warmth(v) - self.others_rate(v)) for v in ready)
 
     def admitted(self, place: int) -> float:
         """The share of a class let in: the least worth goes first."""
-        demand = [sum(p.demand[k] for p in self.proxies.values()) for k in range(len(self.settings.classes))]
+        demand = self.demand()
         cut = self.shed * sum(demand)
         for k in sorted(range(len(demand)), key=lambda k: (self.settings.classes[k].worth, k)):
             refused = min(cut, (1 - LEAST_LEVEL) * demand[k])
@@ -676,40 +667,30 @@
     def write_level(self, table: Table, users: list[int], level: tuple[float, Retry]) -> None:
         if differs(level, table.level):
             table.level = level
-            self.actions.append(face.SetAdmission(table.number, (table.place,), *level))
-            for user in users:
-                self.lines[user] = self.lines.get(user, 0) + 1
+            self.order(users, face.SetAdmission(table.number, (table.place,), *level))
 
     # --- sites with slices --------------------------------------------------------------------------
 
     def keep_slices(self) -> None:
         """A slice keeps its server while that is ready; else it goes to the ready server with fewest."""
-        ready = sorted(s for s, v in self.servers.items() if v.entry.availability is face.Availability.READY)
-        held = dict.fromkeys(ready, 0)
-        for lines in self.slices.values():
-            for server in lines:
-                held[server] = held.get(server, 0) + 1
+        held = dict.fromkeys(sorted(view.entry.server for view in self.ready()), 0)
+        for server in [s for lines in self.slices.values() for s in lines if s in held]:
+            held[server] += 1
         for number, lines in self.slices.items():
-            stale = [s for s in lines if s not in ready]
-            if ready and len(stale) == len(lines):
-                chosen = min(ready, key=lambda s: (held[s], s))
+            if held and not any(server in held for server in lines):
+                chosen = min(held, key=lambda s: (held[s], s))
                 held[chosen] += 1
                 self.actions.append(face.SetWeight(number, chosen, 1.0))
                 if not self.settings.exclusive:
-                    self.actions += [face.SetWeight(number, s, 0.0) for s in stale]
+                    self.actions += [face.SetWeight(number, s, 0.0) for s in lines]
                 self.slices[number] = {chosen: 1.0}
 
 
-Key = tuple[int, int]  # zone and class
+Rates = dict[Server, float]
 
 
-def fill(
-    keys: list[Key],
-    left: dict[Key, float],
-    pull: dict[Key, dict[Server, float]],
-    room: dict[Server, float],
-    placed: dict[Key, dict[Server, float]],
-) -> None:
+def fill(keys: list[Key], left: dict[Key, float], pull: dict[Key, Rates], room: Rates, used: Rates,
+         placed: dict[Key, Rates]) -> None:
     """One round: each zone asks in proportion to room times attraction, servers grant up to their room."""
     asked: dict[Server, float] = {}
     asks: dict[Key, dict[Server, float]] = {}
@@ -726,6 +707,7 @@
             left[key] -= rate * granted[server]
     for server, rate in asked.items():
         room[server] -= rate * granted[server]
+        used[server] += rate * granted[server]
 
 
 def bounded(value: float, low: float, high: float) -> float:
@@ -733,6 +715,17 @@
     return min(high, max(low, value)) if value == value else low
 
 
+def median(values: list[float], weights: list[float] | None = None) -> float:
+    """The value with half of the weight at or below it; 0 of nothing."""
+    pairs = sorted(zip(values, weights or [1.0] * len(values), strict=True))
+    left = 0.5 * sum(weight for _, weight in pairs)
+    for value, weight in pairs:
+        left -= weight
+        if left < 0:
+            return value
+    return 0.0
+
+
 def size_of(view: ServerView) -> float:
     return view.entry.size if 0 < view.entry.size < math.inf else 1.0
 
