--- a/stackwheel/interface.py
+++ b/stackwheel/interface.py
@@ -221,6 +221,9 @@
     out: bool
 
 
+Level: TypeAlias = tuple[float, Retry]  # how much is let in, and when it is tried again
+
+
 @dataclass(frozen=True, slots=True)
 class SetAdmission:
     table: int
