--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -56,7 +56,7 @@
 FULL_USE = 0.92  # of known capacity, or of what is answered under overload: more demand than that is shed
 SHED_GAIN, SHED_BACK, SHED_MOST = 0.5, 0.2, 0.8  # step to there; share back in a calm slot; limit
 LEAST_LEVEL, ALL, NO_LIMIT = 0.05, 0.99, 1e6  # least share let in; what counts as all; no rate limit
-
+FURTHER_TRY = Retry.ONCE_IF_UNTRIED  # safe for any class; after any failure it doubled the work under strain
 PEER_LINE, PEER_LINES = struct.Struct(">6sH"), 32  # a server, tenths of requests a second
 SLOT_TOKEN, LIST_TOKEN = 1 << 32, 2 << 32
 Key = tuple[int, int]  # zone and class: what a table is for
@@ -571,17 +571,7 @@
         if self.settings.admission == "rate":
             rates = [p.demand[table.place] for p in self.proxies.values() if p.zone == table.zone]
             level = rate_cap(rates, share) if share < ALL else NO_LIMIT
-        return level, self.safe_retry(table.place)
-
-    def safe_retry(self, place: int) -> Retry:
-        """A further try after any failure only where a second run does no harm, and only while a few
-        servers are sick and the rest are quick: under load it doubles the work."""
-        wanted = self.settings.classes[place]
-        covered = wanted.effect == "by_key" and wanted.group == "all" and wanted.key_window >= wanted.deadline
-        harmless = wanted.effect == "repeatable" or covered
-        spare = not self.shed and self.usual_answer() < CALM_SPAN * self.calm
-        sick = any(self.ejected(v) or v.failing > EJECT_AT for v in self.ready())
-        return Retry.ONCE if harmless and spare and sick else Retry.ONCE_IF_UNTRIED
+        return level, FURTHER_TRY
 
     def keep_slices(self) -> None:
         """Sites with slices: one keeps its server while that is ready; else it goes to who has fewest."""
