Scale up the shares that stay when lines leave; tests of the policy without the bench

Cause: shares of a table that lost lines moved by the capped step from their old values, so cold lines, which jump to their goal, held more than it.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -24,10 +24,9 @@
 ERROR_AIMS = 2.0  # an error counts as an answer that took so many aims
 PEER_LIFE = 3.0  # cycles for which a peer's figures count
 TARGET_USE, LEAST_USE = 0.7, 0.45  # the design's; the fleet is never taken to be less used than
-CAPACITY_GAIN = 0.15
-CLEAN = 0.05  # share of failures up to which served rate over use is believed
-LEVEL_RISE = 0.03  # capacity rises by this a slot while answers take under CALM_SPAN times the quickest
-CALM_SPAN, CALM_DRIFT = 1.3, 0.01
+CAPACITY_GAIN, CLEAN = 0.15, 0.05  # step to a new figure; failures up to which served over use is believed
+LEVEL_RISE, CALM_SPAN = 0.03, 1.3  # capacity rises a slot while answers are within this of the quickest
+CALM_DRIFT = 0.01  # by which the quickest is forgotten
 # Spread and tables
 COST_V, SCORE_POWER = 30.0, 3.0  # V: aims of delay that one unit of cross-zone price is worth
 USES = (TARGET_USE, 0.85, 1.0)  # filled in turn: what exceeds the target still goes where there is most room
@@ -40,8 +39,7 @@
 OVERWEIGHT = 1.2  # times its wanted share that a cold server may hold until the next slot
 LEAST_SHARE = 0.005  # lines under this share of a table are left out
 # Health
-EJECT_AT, EJECT_TRIES = 0.3, 8.0  # share of failures, over about so many tries
-DEAD = 0.8  # share of failures that ejects however slow the rest
+EJECT_AT, EJECT_TRIES, DEAD = 0.3, 8.0, 0.8  # share of failures over so many tries; when it is surely dead
 CROWDED = 2.0  # times the usual time of good answers: failing by load, not by sickness
 PANIC_SHARE = 0.4  # of the ready servers: never eject more
 TRICKLE = 0.05  # of an even share, while ejected
@@ -157,11 +155,9 @@
 
     def handle(self, now: float, events: Iterable[Event]) -> list[Action]:
         """Take in a batch, act at once on what the rules hang on, and run the slot when it is due."""
-        starting, self.now = self.slot_at == -math.inf, now
-        self.actions, self.lines = [], {}
+        starting, self.now, self.actions, self.lines = self.slot_at == -math.inf, now, [], {}
         self.outbox.advance(now)
-        if starting and self.settings.list_on_request:
-            self.actions.append(face.Subscribe())
+        self.actions += [face.Subscribe()] if starting and self.settings.list_on_request else []
         due = [self.take(event) for event in events].count(True) > 0 or starting
         if self.settings.slices:
             self.slot_at = now
@@ -191,9 +187,9 @@
             case face.PeerMessage(sender, payload):
                 self.peers[sender] = (self.now, read_peer(payload))
             case face.SliceGranted(table, granted):
-                self.slices.pop(table, None)
-                if granted:
-                    self.slices[table] = {}
+                self.slices[table] = {}
+                if not granted:
+                    del self.slices[table]
             case face.SliceLine(table, server, weight):
                 self.slices.setdefault(table, {})[server] = weight
             case face.TimerFired(token) if token == LIST_TOKEN:
@@ -203,8 +199,7 @@
     def take_list(self, update: face.ServerList) -> None:
         """Follow the list; a server it drops is gone, unless only draining binds: then health judges it."""
         if update.scope is face.ListScope.FAILED:
-            wait = self.settings.cycle * (0.5 + self.random.random())
-            self.actions.append(face.SetTimer(wait, LIST_TOKEN))
+            self.actions.append(face.SetTimer(self.settings.cycle * (0.5 + self.random.random()), LIST_TOKEN))
             return
         for entry in update.entries:
             if entry.availability is not face.Availability.GONE:
@@ -230,12 +225,10 @@
     def open_to(self, place: int, zone: int | None = None) -> list[ServerView]:
         """Ready servers that may serve a class, from a zone where that matters."""
         wanted = self.settings.classes[place]
-        return [
-            view for view in self.ready()
-            if (not wanted.open_zones or view.entry.zone in wanted.open_zones)
-            and (not wanted.open_kinds or view.entry.kind in wanted.open_kinds)
-            and (not wanted.zone_bound or zone in (None, view.entry.zone))
-        ]
+        return [view for view in self.ready()
+                if (not wanted.open_zones or view.entry.zone in wanted.open_zones)
+                and (not wanted.open_kinds or view.entry.kind in wanted.open_kinds)
+                and (not wanted.zone_bound or zone in (None, view.entry.zone))]
 
     def warmth(self, view: ServerView) -> float:
         """The share of its capacity that a server surely has by now."""
@@ -259,7 +252,7 @@
         view.answer = blend(view.answer, answer, gain)
         view.delay[report.zone] = blend(view.delay.get(report.zone), answer, gain)
         seen = tries * 1000.0 / report.window
-        view.rates[report.zone] = blend(view.rates.get(report.zone, 0.0), seen, SMOOTHING)
+        view.rates[report.zone] = blend(view.rates.get(report.zone), seen, SMOOTHING)
         view.failing = blend(view.failing, bad, tries / (tries + EJECT_TRIES))
         if bad < 1.0:
             view.good = blend(view.good, good, gain)
@@ -308,8 +301,7 @@
                 self.learn_capacity(view, usual)
 
     def usual_answer(self) -> float:
-        heard = [v.answer for v in self.servers.values() if v.answer is not None]
-        return median(heard) or 0.5 * self.mean_aim
+        return median([v.answer for v in self.servers.values() if v.answer]) or 0.5 * self.mean_aim
 
     def learn_level(self, usual: float) -> None:
         """Capacity per listed size of the fleet: load over target use, rising while answers stay quick."""
@@ -420,10 +412,11 @@
     def jammed(self, place: int, zone: int) -> bool:
         """Proxies that avoid failing servers all turn to a fresh one: in a jam the coldest are not let in.
 
-        Acts where proxies judge by strikes and much of the traffic fails at warm servers."""
+        Acts where proxies judge by strikes, there are warm servers, and much of the traffic fails at them;
+        and anywhere until the first report, as a planner that starts may start into a jam."""
         warm = [v for v in self.open_to(place, zone) if self.warmth(v) >= 1.0]
-        failing = sum(v.failing * v.rate for v in warm)
-        return self.settings.strikes > 0 and failing > JAM * sum(v.rate for v in warm) > 0
+        failing = sum(v.failing * v.rate for v in warm) > JAM * sum(v.rate for v in warm)
+        return bool(warm) and (not self.calm or (self.settings.strikes > 0 and failing))
 
     def place_excess(self, left: float, placed: Rates, present: Rates) -> None:
         """All demand is placed: what found no room spreads by capacity, over warm servers if any."""
@@ -439,13 +432,15 @@
         goals = self.spread()
         for key, table in self.tables.items():
             goal = self.as_shares(goals[key])
-            for server in [*goal, *(s for s in table.shares if s not in goal)]:
-                old, new = table.shares.get(server, 0.0), goal.get(server, 0.0)
-                view, most = self.servers.get(server), STEP * max(old, new)
-                if view is None or server in self.urgent or not table.sent or self.warmth(view) < 1.0:
-                    most = 1.0  # what is cold or gone has a goal that is safe, or must be, at once
-                table.shares[server] = old + bounded(new - old, -most, most)
-            table.shares = {s: w for s, w in table.shares.items() if w >= LEAST_SHARE or s in goal}
+            stay = sum(share for s, share in table.shares.items() if s in goal) or 1.0
+            held = {s: share / stay for s, share in table.shares.items() if s in self.servers}
+            for server in [*goal, *(s for s in held if s not in goal)]:
+                old, new = held.get(server, 0.0), goal.get(server, 0.0)
+                most = STEP * max(old, new)
+                if server in self.urgent or not table.sent or self.warmth(self.servers[server]) < 1.0:
+                    most = 1.0  # what is cold, drains or fails has a goal that is safe, or must be, at once
+                held[server] = old + bounded(new - old, -most, most)
+            table.shares = {s: share for s, share in held.items() if share >= LEAST_SHARE or s in goal}
 
     def as_shares(self, placed: Rates) -> Rates:
         """Shares of a table; an ejected server keeps a trickle, by which its return is judged."""
@@ -465,14 +460,14 @@
 
     def overweight(self, table: Table) -> list[Server]:
         """Cold servers that hold more of a table than is safe, since other lines left it."""
-        cold = [s for s in table.sent if s in self.servers and self.warmth(self.servers[s]) < 1.0]
-        return [s for s in cold if table.sent[s] > OVERWEIGHT * table.scale() * table.shares.get(s, 0.0)]
+        most = OVERWEIGHT * table.scale()
+        heavy = [s for s, weight in table.sent.items() if weight > most * table.shares.get(s, 0.0)]
+        return [s for s in heavy if s in self.servers and self.warmth(self.servers[s]) < 1.0]
 
     def users(self, table: Table) -> list[int]:
         return [number for number, p in self.proxies.items() if p.zone == table.zone and p.bound]
 
     def may_write(self, users: list[int], share: float) -> bool:
-        """Within the message cap; who gets a message in this reply anyway gets no further one."""
         return all(self.outbox.may_write(self.proxies[u], share) for u in users if u not in self.lines)
 
     def send_changes(self) -> None:
@@ -534,8 +529,7 @@
         return self.tables[key]
 
     def set_shedding(self) -> None:
-        """While half of the traffic meets slow answers, shed what is not answered; never admit more than
-        the known capacity, so that no queue forms where use is reported."""
+        """Shed what is beyond known capacity, and while half of the traffic is slow what is not answered."""
         sound = [v for v in self.servers.values() if v.answer is not None and not self.ejected(v)]
         middle = median([v.answer or 0.0 for v in sound], [v.rate for v in sound])
         demand = max(1e-3, sum(self.demand()))
@@ -609,8 +603,7 @@
 
 
 def bounded(value: float, low: float, high: float) -> float:
-    """Clamp; what is no number counts as the low end."""
-    return min(high, max(low, value)) if value == value else low
+    return min(high, max(low, value)) if value == value else low  # no number counts as low
 
 
 def blend(old: float | None, new: float, gain: float) -> float:
@@ -630,7 +623,9 @@
 
 
 def differs(new: face.Level, old: face.Level | None) -> bool:
-    return old is None or new[1] != old[1] or abs(new[0] - old[0]) > WORTH_SENDING * max(new[0], old[0])
+    if old is None or new[1] != old[1] or (new[0] == 1.0) != (old[0] == 1.0):
+        return True
+    return abs(new[0] - old[0]) > WORTH_SENDING * max(new[0], old[0])
 
 
 def rate_cap(rates: list[float], share: float) -> float:
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,406 @@
+"""The policy on hand-made events: the design's steps and the guards that the rules need."""
+
+import math
+from dataclasses import replace
+
+import pytest
+from desk import READ, SETTINGS, WRITE, Desk, entry, name, only
+
+from stackwheel import balance
+from stackwheel import interface as face
+
+GONE, DRAINING = face.Availability.GONE, face.Availability.DRAINING
+
+
+def fleet(count: int = 6, **more: object) -> Desk:
+    """Servers alternate between the two zones."""
+    return Desk(servers=[entry(n, n % 2) for n in range(count)], **more)  # type: ignore[arg-type]
+
+
+# the ordinary path
+
+
+def test_join_gets_whole_tables_at_once() -> None:
+    desk = fleet()
+    assert set(desk.bound) == {0, 1}
+    assert set(desk.bound[0]) == {0, 1}
+    for proxy in (0, 1):
+        assert math.isclose(sum(desk.table(proxy).values()), 1.0)
+        assert len(desk.table(proxy)) >= 3
+
+
+def test_tables_are_shared_by_zone_and_class() -> None:
+    desk = fleet(proxies=((0, 0), (1, 0), (2, 1)))
+    assert desk.bound[0] == desk.bound[1] != desk.bound[2]
+    assert desk.bound[0][0] != desk.bound[0][1]
+
+
+def test_before_reports_listed_sizes_go_out() -> None:
+    desk = Desk(servers=[entry(0, size=1.0), entry(1, size=3.0)], proxies=((0, 0),))
+    assert desk.table(0)[name(1)] == pytest.approx(3 * desk.table(0)[name(0)], rel=0.2)
+
+
+def test_own_zone_is_preferred_by_its_cost_and_spills_when_full() -> None:
+    calm = fleet()
+    calm.slots(8, tries=5, demand=20, use=dict.fromkeys(range(6), 0.3))
+    home = sum(share for server, share in calm.table(0).items() if server[3] % 2 == 0)
+    assert home > 0.75
+    full = fleet(proxies=((0, 0),))
+    full.slots(12, tries=25, demand=150, use={n: 0.95 if n % 2 == 0 else 0.3 for n in range(6)})
+    assert sum(share for server, share in full.table(0).items() if server[3] % 2 == 0) < home - 0.1
+
+
+def test_without_a_price_zones_hardly_matter() -> None:
+    desk = fleet(cross_zone_price=0.0)
+    desk.slots(5)
+    home = sum(share for server, share in desk.table(0).items() if server[3] % 2 == 0)
+    assert 0.4 < home < 0.6
+
+
+def test_capacity_is_served_rate_over_use() -> None:
+    desk = fleet(2, proxies=((0, 0),), cross_zone_price=0.0)
+    desk.slots(25, use={0: 0.8, 1: 0.2})
+    assert desk.table(0)[name(1)] > 2 * desk.table(0)[name(0)]
+
+
+def test_slow_answers_weigh_a_server_down() -> None:
+    desk = fleet(load_columns=(), cross_zone_price=0.0)
+    desk.slots(12, slow={0: 400.0})
+    assert desk.table(0)[name(0)] < 0.7 * desk.table(0)[name(2)]
+
+
+def test_a_weight_moves_by_a_capped_step_each_slot() -> None:
+    desk = fleet(cross_zone_price=0.0)
+    desk.slots(3)
+    for _ in range(8):
+        before = desk.table(0)
+        desk.slot(use={0: 1.0}, slow={0: 900.0})
+        after = desk.table(0)
+        assert after[name(0)] >= before[name(0)] * (1 - balance.STEP) * 0.85
+
+
+def test_only_lines_that_moved_are_sent() -> None:
+    desk = fleet()
+    desk.slots(30)
+    assert only(desk.slot(), face.SetWeight) == []
+
+
+def test_classes_go_only_to_servers_open_to_them() -> None:
+    limited = replace(READ, open_zones=(1,))
+    kinds = replace(WRITE, open_kinds=(1,))
+    desk = Desk(servers=[entry(n, n % 2, kind=n // 3) for n in range(6)], classes=(limited, kinds))
+    desk.slots(4)
+    assert {s[3] % 2 for s in desk.table(0, 0)} == {1}
+    assert {s[3] // 3 for s in desk.table(0, 1)} == {1}
+
+
+def test_zone_bound_class_stays_in_the_proxys_zone() -> None:
+    desk = fleet(classes=(replace(READ, zone_bound=True), WRITE))
+    desk.slots(4)
+    assert {s[3] % 2 for s in desk.table(0, 0)} == {0}
+    assert {s[3] % 2 for s in desk.table(1, 0)} == {1}
+
+
+# the partial view
+
+
+def test_peers_figures_take_room_and_expire() -> None:
+    desk = fleet(planners=2, planner=0, cross_zone_price=0.0)
+    payload = balance.PEER_LINE.pack(name(0), 500)  # the peer sends 50 a second to server 0
+    for _ in range(12):
+        desk.send(face.PeerMessage(1, payload))
+        desk.slot(use={n: 0.9 if n == 0 else 0.4 for n in range(6)})
+    assert desk.table(0)[name(0)] < 0.8 * desk.table(0)[name(2)]
+    view = desk.planner.servers[name(0)]
+    assert desk.planner.others_rate(view) == 50.0
+    desk.now += 1000.0 * balance.PEER_LIFE + 1
+    desk.send()
+    assert desk.planner.others_rate(view) != 50.0
+
+
+def test_own_traffic_is_not_taken_for_the_whole_load() -> None:
+    """With no peer heard the server's own report of requests in hand shows the others' part."""
+    desk = fleet(planners=2, load_columns=("outstanding",))
+    desk.slots(10, tries=5, mean=100.0, use=dict.fromkeys(range(6), 4.0))  # 4 in hand at 100 ms: 40 a second
+    view = desk.planner.servers[name(0)]
+    assert desk.planner.others_rate(view) == pytest.approx(40.0 - view.rate, rel=0.1)
+
+
+def test_peer_message_fits_and_names_the_busiest() -> None:
+    desk = Desk(servers=[entry(n) for n in range(60)], planners=2, peers_allowed=True)
+    desk.slots(2)
+    (message, *_) = only(desk.slot(), face.TellPeers)
+    assert isinstance(message, face.TellPeers)
+    assert len(message.payload) <= 256
+    assert len(balance.read_peer(message.payload)) == balance.PEER_LINES
+    assert balance.read_peer(b"garbage") == {}
+
+
+# drains, losses, restarts
+
+
+@pytest.mark.parametrize("state", [DRAINING, GONE])
+def test_a_server_told_to_drain_or_gone_leaves_every_table_at_once(state: face.Availability) -> None:
+    desk = fleet()
+    desk.slots(3)
+    desk.listed(entry(0, 0, state))
+    for lines in desk.tables.values():
+        assert name(0) not in lines and lines
+
+
+def test_a_server_missing_from_a_whole_list_is_gone() -> None:
+    desk = fleet()
+    desk.send(face.ServerList(face.ListScope.WHOLE, 3, tuple(entry(n, n % 2) for n in range(1, 6))), wait=10.0)
+    assert all(name(0) not in lines for lines in desk.tables.values())
+
+
+def test_where_only_draining_binds_an_emptied_list_is_doubt() -> None:
+    desk = fleet(only_draining_binds=True)
+    held = {number: dict(lines) for number, lines in desk.tables.items()}
+    desk.send(face.ServerList(face.ListScope.WHOLE, 3, ()), wait=10.0)
+    assert desk.tables == held
+    desk.listed(entry(0, 0, DRAINING))
+    assert all(name(0) not in lines for lines in desk.tables.values())
+
+
+def test_a_whole_zone_gone_leaves_the_others_in_its_tables() -> None:
+    desk = fleet()
+    desk.slots(3, tries=5, demand=20)
+    desk.listed(*(entry(n, 0, GONE) for n in (0, 2, 4)))
+    assert set(desk.table(0)) == {name(1), name(3), name(5)}
+
+
+def test_a_restarted_server_starts_small_at_once() -> None:
+    desk = fleet(cross_zone_price=0.0)
+    desk.slots(5, use=dict.fromkeys(range(6), 0.6))
+    before = desk.table(0)[name(0)]
+    desk.listed(entry(0, 0, started=desk.now))
+    for proxy in (0, 1):
+        assert desk.table(proxy)[name(0)] < 0.4 * before
+
+
+def test_a_cold_server_stays_under_its_limit_while_it_warms() -> None:
+    """Its load is under fall_multiple times what it surely can do, in overload too."""
+    desk = fleet(cross_zone_price=0.0)
+    desk.slots(5, tries=30, demand=90, use=dict.fromkeys(range(6), 0.95))
+    desk.listed(entry(0, 0, started=desk.now))
+    for second in range(10):
+        desk.slot(tries=30, demand=200, use=dict.fromkeys(range(6), 1.0))
+        present = (0.2 + 0.08 * second) * desk.planner.servers[name(0)].capacity
+        load = sum(200.0 * desk.table(p, c).get(name(0), 0.0) for p in (0, 1) for c in (0, 1))
+        assert load < SETTINGS.fall_multiple * present
+
+
+def test_cold_lines_follow_when_other_lines_leave() -> None:
+    """Found on a deploy: three lines drained and a cold server's part of the table doubled unsent."""
+    desk = fleet(12, cross_zone_price=0.0)
+    desk.slots(5, demand=110, use=dict.fromkeys(range(12), 0.6))
+    desk.listed(entry(0, 0, started=desk.now))
+    desk.listed(*(entry(n, n % 2, DRAINING) for n in range(1, 9)))
+    limit = balance.COLD_USE * SETTINGS.fall_multiple * 0.2 * desk.planner.servers[name(0)].capacity
+    load = sum(desk.table(p, c).get(name(0), 0.0) * desk.planner.demand(p)[c] for p in (0, 1) for c in (0, 1))
+    assert 0 < load < 1.25 * limit
+
+
+def test_in_a_jam_a_fresh_server_is_held_out_where_proxies_judge_by_strikes() -> None:
+    """Found in an incident: proxies avoided all servers but the fresh one, which fell over."""
+    jam = dict.fromkeys(range(1, 6), 18)
+    shares = []
+    for strikes in (8, 0):
+        desk = fleet(strikes=strikes, cross_zone_price=0.0)
+        desk.slots(4, use=dict.fromkeys(range(6), 1.0), bad=jam)
+        desk.listed(entry(0, 0, started=desk.now))
+        desk.slots(2, use=dict.fromkeys(range(6), 1.0), bad=jam)
+        shares.append(desk.table(0).get(name(0), 0.0))
+    assert shares[0] == 0.0 < shares[1]
+
+
+def test_a_planner_that_starts_holds_the_coldest_out_until_it_has_heard() -> None:
+    """Found by a rule hunt: a planner started into a jam and sent a cold server five hundredths of it."""
+    servers = [entry(n, n % 2) for n in range(1, 6)]
+    desk = Desk(servers=[entry(0, 0, started=97000.0), *servers])
+    assert name(0) not in desk.table(0)
+    desk.slots(2)
+    assert name(0) in desk.table(0)
+
+
+def test_cold_servers_are_used_when_there_are_no_others() -> None:
+    desk = Desk(servers=[entry(n, started=99000.0) for n in range(3)], proxies=((0, 0),), strikes=8)
+    assert len(desk.table(0)) == 3
+
+
+# health
+
+
+def test_a_server_that_keeps_failing_fast_is_ejected_to_a_trickle_and_returns() -> None:
+    desk = fleet(cross_zone_price=0.0)
+    desk.slots(4)
+    even = desk.table(0)[name(2)]
+    desk.slots(3, bad={0: 18}, slow={0: 5.0})
+    assert 0 < desk.table(0)[name(0)] < 0.15 * even
+    desk.slots(12)
+    assert desk.table(0)[name(0)] > 0.5 * even
+
+
+def test_failing_fast_never_attracts_load() -> None:
+    desk = fleet(load_columns=(), cross_zone_price=0.0)
+    desk.slots(4)
+    before = desk.table(0)[name(0)]
+    for _ in range(6):
+        desk.slot(bad={0: 4}, slow={0: 1.0})
+        assert desk.table(0)[name(0)] <= before * 1.2
+
+
+def test_one_bad_report_ejects_nobody() -> None:
+    desk = fleet()
+    desk.slots(4)
+    desk.slot(tries=3, bad={0: 1})
+    assert not any(desk.planner.ejected(v) for v in desk.planner.servers.values())
+
+
+def test_ejection_stops_at_the_panic_share_and_keeps_the_last_line() -> None:
+    desk = fleet(9)
+    desk.slots(3)
+    desk.slots(2, bad=dict.fromkeys(range(4), 20))
+    out = [v for v in desk.planner.servers.values() if desk.planner.ejected(v)]
+    assert 0 < len(out) <= balance.PANIC_SHARE * 9 < 4
+    alone = Desk(servers=[entry(0)], proxies=((0, 0),))
+    alone.slots(8, bad={0: 20})
+    assert alone.table(0)
+
+
+def test_a_crowded_server_is_not_ejected() -> None:
+    desk = fleet()
+    desk.slots(4)
+    desk.slots(3, bad={0: 10}, slow={0: 900.0})
+    assert not desk.planner.ejected(desk.planner.servers[name(0)])
+
+
+def test_silence_is_neither_health_nor_death() -> None:
+    desk = fleet()
+    desk.slots(4)
+    held = desk.table(0)
+    for _ in range(5):
+        desk.send(face.TimerFired(balance.SLOT_TOKEN + desk.planner.slot), wait=1250.0)
+    assert desk.table(0) == pytest.approx(held)
+
+
+@pytest.mark.parametrize("mean", [math.nan, math.inf, -5.0, 1e300])
+@pytest.mark.parametrize("window", [0.0, -1.0, math.nan, math.inf])
+def test_absurd_figures_never_reach_a_weight(mean: float, window: float) -> None:
+    desk = fleet()
+    desk.slots(2)
+    desk.send(
+        face.ServerReport(0, name(0), 10, 99, mean, 1000.0, (mean,)),
+        face.ServerReport(0, name(0), 10, 0, mean, window, (window,)),
+        face.ServerReport(7, name(99), 10, 0, mean, window, ()),
+        face.DemandReport(0, 0, 5, 0, window), face.DemandReport(55, 9, 5, 0, 1000.0), wait=1000.0,
+    )
+    desk.slots(2)
+    assert all(math.isfinite(w) and w > 0 for lines in desk.tables.values() for w in lines.values())
+
+
+# channel
+
+
+def test_messages_stay_under_the_cap_with_urgent_ones_ahead() -> None:
+    desk = fleet(12, message_cap=12)
+    written: list[float] = []
+    for second in range(40):
+        use = {n: 0.3 + 0.6 * ((n + second) % 2) for n in range(12)}
+        for event in (None, entry(second % 12, 0, started=desk.now)):
+            actions = desk.listed(event) if event else desk.slot(use=use, slow={n: 100.0 * (1 + (n + second) % 4) for n in range(12)})
+            lines = [a for a in actions if isinstance(a, face.SetWeight) and a.table == desk.bound[0][0]]
+            written += [desk.now] if lines else []
+    for at in written:
+        assert sum(1 for other in written if at - 10000.0 < other <= at) <= 12
+
+
+def test_a_drain_is_sent_within_the_grace_even_near_the_message_cap() -> None:
+    desk = fleet(12, message_cap=12)
+    for second in range(12):
+        desk.listed(entry(second % 6, 0, started=desk.now))
+        desk.slot(slow={n: 100.0 * (1 + (n + second) % 4) for n in range(12)})
+    desk.listed(entry(7, 1, DRAINING))
+    for _ in range(2):
+        desk.slot()
+    assert all(name(7) not in lines for lines in desk.tables.values())
+
+
+def test_joins_wait_when_the_channel_is_full_and_come_later() -> None:
+    desk = Desk(servers=[entry(n) for n in range(10)], proxies=[(n, 0) for n in range(40)], backlog=500.0)
+    assert 0 < len(desk.bound) < 40
+    for _ in range(20):
+        desk.send(face.TimerFired(balance.SLOT_TOKEN + desk.planner.slot), wait=1250.0)
+    assert len(desk.bound) == 40
+
+
+def test_a_proxy_that_left_is_forgotten_and_may_join_again() -> None:
+    desk = fleet()
+    desk.send(face.ProxyLeft(0), wait=10.0)
+    desk.slots(2)
+    assert 0 not in desk.bound
+    desk.send(face.ProxyJoined(0, 1, 30.0, False), wait=10.0)
+    assert desk.bound[0] == desk.bound[1]
+
+
+# admission and further tries
+
+
+def test_overload_sheds_the_least_worth_first_and_recovers() -> None:
+    desk = fleet()
+    desk.slots(4, use=dict.fromkeys(range(6), 0.5))
+    assert desk.level(0, 0)[0] == desk.level(0, 1)[0] == 1.0
+    desk.slots(6, demand=100, tries=20, mean=900.0, use=dict.fromkeys(range(6), 1.0))
+    assert desk.level(0, 0)[0] < 0.9
+    assert desk.level(0, 0)[0] <= desk.level(0, 1)[0]
+    desk.slots(20, demand=40, use=dict.fromkeys(range(6), 0.5))
+    assert desk.level(0, 0)[0] == desk.level(0, 1)[0] == 1.0
+
+
+def test_a_rate_limit_cuts_the_hot_caller_first() -> None:
+    assert balance.rate_cap([10.0, 10.0, 100.0], 0.5) == pytest.approx(40.0)
+    assert balance.rate_cap([10.0, 10.0], 0.5) == pytest.approx(5.0)
+    desk = fleet(admission="rate")
+    desk.slots(2)
+    assert desk.level(0)[0] == balance.NO_LIMIT
+
+
+@pytest.mark.parametrize("effect", ["repeatable", "by_key", "once"])
+def test_further_tries_only_after_proof(effect: str) -> None:
+    desk = fleet(classes=(replace(READ, effect=effect), WRITE))
+    desk.slots(3, bad={0: 15})
+    assert {retry for _, retry in desk.levels.values()} <= {face.Retry.NEVER, face.Retry.ONCE_IF_UNTRIED}
+
+
+# the list on request, start and crash
+
+
+def test_the_list_is_followed_from_the_start_and_again_after_a_failed_call() -> None:
+    desk = fleet(list_on_request=True)
+    assert only(desk.actions, face.Subscribe) == [face.Subscribe()]
+    actions = desk.send(face.ServerList(face.ListScope.FAILED, 1), wait=100.0)
+    (timer,) = [a for a in actions if isinstance(a, face.SetTimer) and a.token == balance.LIST_TOKEN]
+    assert 0 < timer.delay <= 0.25 * desk.settings.ask_within
+    assert only(desk.send(face.TimerFired(balance.LIST_TOKEN), wait=timer.delay), face.Subscribe)
+
+
+def test_a_pushed_list_is_not_asked_for() -> None:
+    assert only(fleet().actions, face.Subscribe) == []
+
+
+def test_a_planner_with_an_empty_list_orders_nothing_and_recovers() -> None:
+    desk = Desk(servers=[])
+    assert only(desk.actions, face.SetWeight) == []
+    desk.listed(*(entry(n, n % 2) for n in range(4)))
+    desk.slot()
+    assert all(desk.table(p) for p in (0, 1))
+
+
+def test_slices_keep_their_server_until_it_goes() -> None:
+    desk = Desk(servers=[entry(0), entry(1)], slices=2, proxies=())
+    actions = desk.send(face.SliceGranted(0, True), face.SliceLine(0, name(0), 1.0), face.SliceGranted(1, True))
+    assert actions == [face.SetWeight(1, name(1), 1.0)]
+    actions = desk.listed(entry(0, state=GONE))
+    assert actions == [face.SetWeight(0, name(1), 1.0), face.SetWeight(0, name(0), 0.0)]
+    assert desk.send(face.SliceGranted(0, False)) == []
--- /dev/null
+++ b/tests/test_properties.py
@@ -0,0 +1,97 @@
+"""What must hold for any run of events."""
+
+import math
+
+from desk import SETTINGS, Desk, entry, name
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stackwheel import interface as face
+
+numbers = st.floats(allow_nan=True, allow_infinity=True)
+servers = st.integers(0, 7)
+entries = st.builds(
+    lambda n, state, started, size: entry(n, n % 2, state, started, size),
+    servers, st.sampled_from(face.Availability), st.sampled_from([0.0, 99000.0, 104000.0]), numbers,
+)
+reports = st.builds(
+    lambda zone, n, tries, bad, mean, window, load: face.ServerReport(zone, name(n), tries, bad, mean, window, (load,)),
+    st.integers(0, 1), servers, st.integers(0, 400), st.integers(0, 500), numbers, numbers | st.just(1000.0), numbers,
+)
+events = st.one_of(
+    entries.map(lambda e: face.ServerList(face.ListScope.CHANGES, 1, (e,))),
+    st.lists(entries, max_size=8).map(lambda es: face.ServerList(face.ListScope.WHOLE, 1, tuple(es))),
+    reports, reports, reports,
+    st.builds(face.DemandReport, st.integers(0, 3), st.integers(0, 2), st.integers(0, 500), st.integers(0, 9), numbers),
+    st.builds(lambda p, z, r: face.ProxyJoined(p, z, r, True), st.integers(0, 3), st.integers(0, 1), numbers),
+    st.builds(face.ProxyLeft, st.integers(0, 3)),
+    st.builds(face.PeerMessage, st.integers(0, 3), st.binary(max_size=256)),
+    st.just(face.ServerList(face.ListScope.FAILED, 0)),
+)
+batches = st.lists(st.tuples(st.floats(0.0, 1500.0), st.lists(events, max_size=12)), max_size=25)
+kinds = st.fixed_dictionaries({
+    "admission": st.sampled_from(["share", "rate", "off"]), "message_cap": st.sampled_from([0, 5, 12]),
+    "backlog": st.sampled_from([0.0, 800.0, 4000.0]), "strikes": st.sampled_from([0, 5]),
+    "load_columns": st.sampled_from([("utilization",), ("outstanding",), ()]), "planners": st.integers(1, 3),
+    "only_draining_binds": st.booleans(),
+})
+
+
+@settings(max_examples=120, deadline=None)
+@given(kinds, batches)
+def test_any_run(kind: dict[str, object], run: list[tuple[float, list[face.Event]]]) -> None:
+    desk = Desk(servers=[entry(n, n % 2) for n in range(6)], **kind)
+    ever = {name(n) for n in range(6)}
+    queue, at = 0.0, desk.now
+    written: dict[int, list[float]] = {}
+    for wait, batch in run:
+        for event in batch:
+            if isinstance(event, face.ServerList):
+                ever |= {e.server for e in event.entries}
+        left = [e.proxy for e in batch if isinstance(e, face.ProxyLeft | face.ProxyJoined)]
+        actions = desk.send(*batch, wait=wait)
+        for proxy in left:
+            written[proxy] = []
+        lines = lines_by_proxy(desk, actions)
+        queue = max(0.0, queue - (desk.now - at) / 1000.0 * SETTINGS.channel_rate) + sum(
+            count + SETTINGS.overhead for count in lines.values())
+        at = desk.now
+        for proxy in lines:
+            recent = [t for t in written.get(proxy, []) if t > desk.now - 10000.0]
+            written[proxy] = [*recent, desk.now]
+            if desk.settings.message_cap:
+                assert len(written[proxy]) <= desk.settings.message_cap
+        if desk.settings.backlog:
+            assert queue <= desk.settings.backlog
+        for action in actions:
+            if isinstance(action, face.SetWeight):
+                assert action.server in ever and math.isfinite(action.weight) and action.weight >= 0
+            if isinstance(action, face.SetAdmission):
+                assert math.isfinite(action.level) and action.level >= 0
+                assert action.retry in (face.Retry.NEVER, face.Retry.ONCE_IF_UNTRIED)
+
+
+def lines_by_proxy(desk: Desk, actions: list[face.Action]) -> dict[int, int]:
+    """What an order costs each proxy, counted by the wire's page and not by the policy's own model."""
+    lines: dict[int, int] = {}
+    joined = {p for a in actions if isinstance(a, face.AssignTable) for p in [a.proxy]}
+    for action in actions:
+        if isinstance(action, face.SetWeight | face.SetAdmission):
+            for proxy, tables in desk.bound.items():
+                if proxy not in joined and action.table in tables.values():
+                    lines[proxy] = lines.get(proxy, 0) + 1
+        if isinstance(action, face.AssignTable):
+            lines[action.proxy] = lines.get(action.proxy, 0) + 2 + len(desk.tables.get(action.table, {}))
+    return {p: n for p, n in lines.items() if p in desk.planner.proxies}
+
+
+@settings(max_examples=40, deadline=None)
+@given(batches)
+def test_the_same_events_lead_to_the_same_actions(run: list[tuple[float, list[face.Event]]]) -> None:
+    def play() -> list[face.Action]:
+        desk = Desk(servers=[entry(n, n % 2) for n in range(6)])
+        for wait, batch in run:
+            desk.send(*batch, wait=wait)
+        return desk.actions
+
+    assert play() == play()
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,56 @@
+"""Settings: unknown keys are passed over, absent ones have defaults, nonsense is named."""
+
+import frames
+import pytest
+
+from stackwheel.drill.settings import SettingsError, parse_settings
+from stackwheel.interface import RequestClass, Retry, Settings
+
+
+def parse(text: str) -> Settings:
+    return parse_settings(text.encode())
+
+
+def test_all_that_the_policy_reads() -> None:
+    got = parse(frames.SETTINGS)
+    assert (got.planners, got.planner, got.zones, got.list_on_request) == (2, 0, 2, True)
+    assert got.classes[0] == RequestClass("read", 500.0, 1200.0, 1.0, "repeatable", "all")
+    assert got.classes[1].open_zones == (0, 1)
+    assert (got.backlog, got.channel_rate, got.overhead, got.message_cap) == (4000.0, 3000.0, 4.0, 12)
+    assert (got.cold_time, got.cold_share, got.fall_multiple) == (17000.0, 0.2, 3.0)
+    assert (got.admission, got.pick, got.cross_zone_price) == ("share", "two", 0.1)
+    assert got.usual_retry is Retry.ONCE_IF_UNTRIED
+
+
+def test_defaults() -> None:
+    assert parse("") == Settings()
+    assert parse("\nfuture.key=1,2\n") == Settings()
+
+
+def test_zero_means_no_limit_and_never_no_time() -> None:
+    got = parse("family_info.backlog=0\nfamily_info.update_cap=0\nfamily_info.cycle=0\nfamily_info.channel_rate=0")
+    assert (got.backlog, got.message_cap) == (0.0, 0)
+    assert got.cycle > 0 and got.channel_rate > 0
+
+
+@pytest.mark.parametrize("method", ["weighted", "round", "two"])
+@pytest.mark.parametrize("level", ["share", "rate", "off"])
+def test_kinds(method: str, level: str) -> None:
+    got = parse(f"family_info.lb_method={method}\nfamily_info.level_kind={level}\ndiscovery=pushed")
+    assert (got.pick, got.admission, got.list_on_request) == (method, level, False)
+
+
+@pytest.mark.parametrize(
+    "line",
+    ["nothing", "instances=two", "instances=1.5", "obligations.cold=nan", "obligations.cold=-1", "bounds.peers=yes",
+     "discovery=sometimes", "services.count=40", "family_info.usual_how=9", "services.count=1\nservices.0.effect=x",
+     "services.count=1\nservices.0.only_zones=a"],
+)
+def test_nonsense_is_named(line: str) -> None:
+    with pytest.raises(SettingsError):
+        parse(line)
+
+
+def test_not_text() -> None:
+    with pytest.raises(SettingsError, match="UTF-8"):
+        parse_settings(b"a=\xff")
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,138 @@
+"""The codec in both directions, on frames written out by hand."""
+
+import struct
+
+import frames
+import pytest
+
+from stackwheel import interface as face
+from stackwheel.drill import wire
+from stackwheel.drill.wire import Create, Decoder, Down, WireError
+
+ADDRESS = face.Server(bytes.fromhex("0a9011f21b84"))
+
+
+def decode(*records: bytes, decoder: Decoder | None = None) -> list[tuple[int, object]]:
+    frame = frames.batch(8412.25, 12, *records)
+    return list((decoder or Decoder()).batch(frame[:20], frame[20:]).records)
+
+
+def one(hexes: str) -> object:
+    ((instance, event),) = decode(bytes.fromhex(hexes.replace(" ", "")))
+    assert instance == 3
+    return event
+
+
+def test_header() -> None:
+    got = Decoder().batch(bytes.fromhex("40c06e2000000000" "00000000" "00000000" "00000001"), b"")
+    assert (got.clock, got.number, got.records) == (8412.25, 1, [])
+
+
+@pytest.mark.parametrize(
+    ("hexes", "event"),
+    [
+        ("0a 00000027 0003 0000 0a124a07 1b5b 0000000e 00000001 4048200000000000 408f400000000000 01 40e00000",
+         face.ServerReport(0, face.Server(bytes.fromhex("0a124a071b5b")), 14, 1, 48.25, 1000.0, (7.0,))),
+        ("03 0000000a 0003 000000000000004d", face.TimerFired(77)),
+        ("08 00000004 0003 0029", face.ProxyLeft(41)),
+        ("07 0000000b 0003 0029 0000 40d00000 01", face.ProxyJoined(41, 0, 6.5, True)),
+        ("0b 00000016 0003 00000000 0029 00000009 409f400000000000 0000", face.DemandReport(41, 0, 9, 0, 2000.0)),
+        ("05 0000000a 0003 00000002 0002 6869", face.PeerMessage(2, b"hi")),
+        ("09 00000014 0003 0029 0000000000000007 4049000000000000", face.Acknowledged(41, 7, 50.0)),
+        ("04 00000017 0003 0a9011f21b84 0001 4024000000000000 01 40400000",
+         face.ProbeResult(ADDRESS, 1, 10.0, (3.0,))),
+        ("0c 00000016 0003 00000001 0002 408f400000000000 00000005 0009", face.SliceDemand(9, 2, 5, 1, 1000.0)),
+        ("0d 00000005 0003 0009 01", face.SliceGranted(9, True)),
+        ("0e 0000000e 0003 3f800000 0009 0a9011f21b84", face.SliceLine(9, ADDRESS, 1.0)),
+        ("06 00000002 0003", Down()),
+    ],
+)
+def test_events(hexes: str, event: object) -> None:
+    assert one(hexes) == event
+
+
+def test_create() -> None:
+    ((instance, event),) = decode(frames.create(3, 9, "a=b"))
+    assert (instance, event) == (3, Create(9, b"a=b"))
+
+
+def test_list_pages_are_replaced_in_order() -> None:
+    records = [
+        frames.ledger(0, frames.entry(1)), frames.directory(0),
+        frames.ledger(0, frames.entry(2, zone=1, kind=1, state=2, size=1.5, start=6070.5)), frames.directory(0, 3),
+    ]
+    (_, first), (_, second) = decode(*records)
+    assert isinstance(first, face.ServerList) and isinstance(second, face.ServerList)
+    assert first.scope is face.ListScope.CACHED and first.entries[0].server == frames.server(1)
+    entry = second.entries[0]
+    assert second.scope is face.ListScope.CHANGES
+    assert (entry.server, entry.zone, entry.kind, entry.size, entry.started) == (frames.server(2), 1, 1, 1.5, 6070.5)
+    assert entry.availability is face.Availability.DRAINING
+
+
+def test_failed_list_needs_no_page() -> None:
+    ((_, event),) = decode(frames.directory(9, scope=2))
+    assert event == face.ServerList(face.ListScope.FAILED, 1)
+
+
+@pytest.mark.parametrize(
+    ("action", "hexes"),
+    [
+        (face.SetWeight(117, ADDRESS, 0.75), "48 0000000e 0003 0075 0a9011f2 1b84 3f400000"),
+        (face.SetTimer(500.0, 77), "41 00000012 0003 407f400000000000 000000000000004d"),
+        (face.Log("two servers unknown"), "44 00000017 0003 0013 74776f207365727665727320756e6b6e6f776e"),
+        (face.TellPeers(b"hi 7"), "43 0000000a 0003 ffff 0004 68692037"),
+        (face.TellPeers(b"x", 1), "43 00000007 0003 0001 0001 78"),
+        (face.SetAdmission(117, (1,), 0.75, face.Retry.ONCE_IF_UNTRIED), "4c 0000000b 0003 0075 0002 3f400000 01"),
+        (face.AssignTable(41, 117, ()), "4b 00000008 0003 0029 0075 0000"),
+        (face.AssignTable(41, 117, (0, 2)), "4b 00000008 0003 0029 0075 0005"),
+        (face.Withdraw(ADDRESS, True), "4a 00000009 0003 0a9011f21b84 01"),
+        (face.ClearTable(117), "49 00000004 0003 0075"),
+        (face.Mark(7, False), "4d 0000000b 0003 0000000000000007 00"),
+        (face.Probe(ADDRESS), "42 00000008 0003 0a9011f21b84"),
+        (face.Subscribe(), "46 00000003 0003 01"),
+        (face.FetchList(), "47 00000002 0003"),
+    ],
+)
+def test_actions(action: face.Action, hexes: str) -> None:
+    assert wire.encode_action(3, action).hex() == hexes.replace(" ", "")
+
+
+def test_fault_and_reply() -> None:
+    fault = wire.encode_fault(3, "bad")
+    assert fault == struct.pack(">BIHH3s", 69, 7, 3, 3, b"bad")
+    assert wire.encode_reply(12, [fault]) == struct.pack(">III", 1, len(fault), 12) + fault
+
+
+@pytest.mark.parametrize(
+    ("record", "says"),
+    [
+        (frames.record(99, b""), "unknown event code 99"),
+        (frames.record(3, b"\0\3"), "runs past the record's end"),
+        (frames.record(8, b"\0\3\0\1\0"), "bytes too many"),
+        (frames.directory(4), "list 4 was never defined"),
+        (frames.directory(0, scope=7), "unknown scope 7"),
+        (frames.ledger(16), "list number 16"),
+        (frames.ledger(0, frames.entry(1, state=3)), "availability 3 is reserved"),
+        (frames.record(15, b"\0\0\0\0\2"), "2 entries do not fill"),
+        (frames.record(13, b"\0\3\0\1\2"), "flag at byte"),
+        (frames.record(4, b"\0\3" + frames.server(1) + struct.pack(">HdB", 8, 1.0, 0)), "outcome 8 is reserved"),
+    ],
+)
+def test_malformed_records(record: bytes, says: str) -> None:
+    with pytest.raises(WireError, match=says):
+        decode(record)
+
+
+def test_lengths_that_do_not_fit() -> None:
+    frame = frames.batch(1.0, 1, frames.reminder(1))
+    with pytest.raises(WireError, match="where the header says"):
+        Decoder().batch(frame[:20], frame[20:-1])
+    longer = struct.pack(">dIII", 1.0, 15, 2, 1)
+    with pytest.raises(WireError, match="missing"):
+        Decoder().batch(longer, frame[20:])
+    nothing = struct.pack(">dIII", 1.0, 15, 0, 1)
+    with pytest.raises(WireError, match="after the last record"):
+        Decoder().batch(nothing, frame[20:])
+    with pytest.raises(WireError, match="finite"):
+        Decoder().batch(struct.pack(">dIII", float("nan"), 0, 0, 1), b"")
