--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -433,12 +433,12 @@
         for key, table in self.tables.items():
             goal = self.as_shares(goals[key])
             stay = sum(share for s, share in table.shares.items() if s in goal) or 1.0
-            held = {s: share / stay for s, share in table.shares.items() if s in self.servers}
-            for server in [*goal, *(s for s in held if s not in goal)]:
-                old, new = held.get(server, 0.0), goal.get(server, 0.0)
+            held = {v.entry.server: table.shares.get(v.entry.server, 0.0) / stay for v in self.ready()}
+            for server, old in held.items():
+                new = goal.get(server, 0.0)
                 most = STEP * max(old, new)
                 if server in self.urgent or not table.sent or self.warmth(self.servers[server]) < 1.0:
-                    most = 1.0  # what is cold, drains or fails has a goal that is safe, or must be, at once
+                    most = math.inf  # what is cold or fails has a goal that is safe, or must be, at once
                 held[server] = old + bounded(new - old, -most, most)
             table.shares = {s: share for s, share in held.items() if share >= LEAST_SHARE or s in goal}
 
