--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -52,7 +52,7 @@
 # Admission
 SLOW_AIMS, SLOW_CALM = 0.4, 2.0  # half of the traffic slower than so many aims and quickest times
 FULL_USE = 0.92  # of known capacity, or of what is answered under overload: more demand than that is shed
-SHED_GAIN, SHED_BACK, SHED_MOST = 0.5, 0.2, 0.8  # step to there; share back in a calm slot; limit
+SHED_GAIN, SHED_BACK, SHED_MOST = 0.5, 0.2, 0.95  # step to there; share back in a calm slot; limit
 LEAST_LEVEL, ALL, NO_LIMIT = 0.05, 0.99, 1e6  # least share let in; what counts as all; no rate limit
 FURTHER_TRY = Retry.ONCE_IF_UNTRIED  # safe for any class; after any failure it doubled the work under strain
 PEER_LINE, PEER_LINES = struct.Struct(">6sH"), 32  # a server, tenths of requests a second
