--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -18,7 +18,7 @@
 from stackwheel.interface import Action, Event, Retry, Server, ServerEntry, Settings
 
 # Estimates
-SMOOTHING = 0.3  # how far a rate or a load figure moves towards the newest report
+SMOOTHING = 0.5  # how far a rate or a load figure moves towards the newest report
 EVIDENCE = 10.0  # tries after which a report counts for half of an answer time
 FADE, ZONE_FADE = 0.1, 0.2  # a slot's drift of what nobody confirms: to all servers' average, to its server's
 ERROR_AIMS = 2.0  # an error counts as an answer that took so many aims
@@ -50,7 +50,7 @@
 DELTA_MESSAGES = 0.6  # of the message cap; the rest is kept for what is urgent
 SLOWEST = 0.2  # the queue is modelled as if the channel ran at this share of its rate
 # Admission
-SLOW_AIMS, SLOW_CALM = 0.4, 2.0  # half of the traffic slower than so many aims and quickest times
+SLOW_AIMS, SLOW_CALM = 0.3, 1.7  # half of the traffic slower than so many aims and quickest times
 FULL_USE = 0.92  # of known capacity, or of what is answered under overload: more demand than that is shed
 SHED_GAIN, SHED_BACK, SHED_MOST = 0.5, 0.2, 0.95  # step to there; share back in a calm slot; limit
 LEAST_LEVEL, ALL, NO_LIMIT = 0.05, 0.99, 1e6  # least share let in; what counts as all; no rate limit
