--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -31,7 +31,7 @@
 USES = (TARGET_USE, 0.85, 1.0)  # filled in turn: what exceeds the target still goes where there is most room
 ROUNDS, LEAST_ROOM = 4, 0.02  # fillings up to one use; of what a server can do, whatever others send there
 COLD_USE = 0.22  # of fall_multiple times what a cold server can do: the most it is given
-JAM, HEARD = 0.2, 0.3  # share of tries failing, and of the traffic heard, that keep cold servers out
+JAM, HEARD, JAM_SLOW = 0.2, 0.3, 1.5  # tries failing, traffic heard, quickest times: keep cold servers out
 STEP = 0.2  # the design's: the most a weight moves in a slot, of itself or its target
 WORTH_SENDING = 0.1  # the design's: a line goes out when it moved by more than this
 OVERWEIGHT = 1.2  # times its wanted share that a cold server may hold until the next slot
@@ -40,8 +40,7 @@
 EJECT_AT, EJECT_TRIES, DEAD = 0.3, 8.0, 0.8  # share of failures over so many tries; when it is surely dead
 CROWDED = 2.0  # times the usual time of good answers: failing by load, not by sickness
 PANIC_SHARE = 0.4  # of the ready servers: never eject more
-TRICKLE = 0.05  # of an even share, while ejected
-HOLD, HOLD_MOST = 3.0, 16.0  # cycles of a first ejection; doubled each time again, up to this
+TRICKLE, HOLD, HOLD_MOST = 0.05, 3.0, 16.0  # of an even share, while ejected; so many cycles, doubled up to
 # Channel
 PACE = 0.4  # of the stated rate, for changes
 DELTA_BACKLOG, JOIN_BACKLOG, DELTA_MESSAGES = 0.4, 0.8, 0.6  # of the backlog limit; of the message cap
@@ -412,12 +411,13 @@
     def jammed(self, place: int, zone: int) -> bool:
         """Proxies that avoid failing servers all turn to a fresh one: in a jam no cold one is let in.
 
-        Acts where proxies judge by strikes, there are warm servers, and much of the traffic fails at them;
-        and anywhere until a fair part of the traffic is heard, as a planner may start into a jam."""
+        Acts where proxies judge by strikes and much of the traffic fails at warm servers or answers are slow, as
+        reports come late; and anywhere until a fair part of the traffic is heard: a start may be into a jam."""
         warm = [v for v in self.open_to(place, zone) if self.warmth(v) >= 1.0]
         failing = sum(v.failing * v.rate for v in warm) > JAM * sum(v.rate for v in warm)
+        slow = self.usual_answer() > JAM_SLOW * self.calm
         unheard = sum(v.rate for v in self.servers.values()) < HEARD * (1 - self.shed) * sum(self.demand())
-        return bool(warm) and (unheard or (self.settings.strikes > 0 and failing))
+        return bool(warm) and (unheard or (self.settings.strikes > 0 and (failing or slow)))
 
     def place_excess(self, left: float, placed: Rates, present: Rates) -> None:
         """All demand is placed: what found no room spreads by capacity, over warm servers if any."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -224,6 +224,18 @@
     assert shares[0] == 0.0 < shares[1]
 
 
+def test_slow_answers_hold_a_fresh_server_out_before_failures_are_reported() -> None:
+    """Found by a long rule hunt: a jam broke out between two reports, and the fresh server took it all."""
+    shares = []
+    for strikes in (8, 0):
+        desk = fleet(strikes=strikes, cross_zone_price=0.0)
+        desk.slots(5, use=dict.fromkeys(range(6), 0.7))
+        desk.slots(4, mean=190.0, use=dict.fromkeys(range(6), 0.9))
+        desk.listed(entry(0, 0, started=desk.now))
+        shares.append(desk.table(0).get(name(0), 0.0))
+    assert shares[0] == 0.0 < shares[1]
+
+
 def test_a_planner_that_starts_holds_the_coldest_out_until_it_has_heard() -> None:
     """Found by a rule hunt: a planner started into a jam and sent a cold server five hundredths of it."""
     servers = [entry(n, n % 2) for n in range(1, 6)]
