--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -40,7 +40,7 @@
 EJECT_AT, EJECT_TRIES, DEAD = 0.3, 8.0, 0.8  # share of failures over so many tries; when it is surely dead
 CROWDED = 2.0  # times the usual time of good answers: failing by load, not by sickness
 PANIC_SHARE = 0.4  # of the ready servers: never eject more
-TRICKLE, HOLD, HOLD_MOST = 0.05, 3.0, 16.0  # of an even share, while ejected; so many cycles, doubled up to
+TRICKLE, HOLD, HOLD_MOST = 0.05, 3.0, 16.0  # of an even share, while ejected; for cycles, doubled up to
 # Channel
 PACE = 0.4  # of the stated rate, for changes
 DELTA_BACKLOG, JOIN_BACKLOG, DELTA_MESSAGES = 0.4, 0.8, 0.6  # of the backlog limit; of the message cap
@@ -411,11 +411,11 @@
     def jammed(self, place: int, zone: int) -> bool:
         """Proxies that avoid failing servers all turn to a fresh one: in a jam no cold one is let in.
 
-        Acts where proxies judge by strikes and much of the traffic fails at warm servers or answers are slow, as
-        reports come late; and anywhere until a fair part of the traffic is heard: a start may be into a jam."""
+        Acts where proxies judge by strikes and much of the traffic fails at warm servers, or answers are
+        slow, as reports come late; and anywhere until a fair part is heard, as a start may be into a jam."""
         warm = [v for v in self.open_to(place, zone) if self.warmth(v) >= 1.0]
         failing = sum(v.failing * v.rate for v in warm) > JAM * sum(v.rate for v in warm)
-        slow = self.usual_answer() > JAM_SLOW * self.calm
+        slow = self.usual_answer() > JAM_SLOW * min(self.calm, SLOW_AIMS * self.mean_aim)
         unheard = sum(v.rate for v in self.servers.values()) < HEARD * (1 - self.shed) * sum(self.demand())
         return bool(warm) and (unheard or (self.settings.strikes > 0 and (failing or slow)))
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -236,6 +236,14 @@
     assert shares[0] == 0.0 < shares[1]
 
 
+def test_a_planner_that_starts_into_a_jam_does_not_take_its_answers_for_quick() -> None:
+    """Found by a long rule hunt: the first answers heard, slow ones, became the measure of what is quick."""
+    servers = [entry(n, n % 2) for n in range(1, 6)]
+    desk = Desk(servers=[entry(0, 0, started=99000.0), *servers], strikes=8)
+    desk.slots(2, mean=400.0, use=dict.fromkeys(range(6), 0.9))
+    assert name(0) not in desk.table(0)
+
+
 def test_a_planner_that_starts_holds_the_coldest_out_until_it_has_heard() -> None:
     """Found by a rule hunt: a planner started into a jam and sent a cold server five hundredths of it."""
     servers = [entry(n, n % 2) for n in range(1, 6)]
