--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -37,8 +37,7 @@
 OVERWEIGHT = 1.2  # times its wanted share that a cold server may hold until the next slot
 LEAST_SHARE = 0.005  # lines under this share of a table are left out
 # Health
-EJECT_AT, EJECT_TRIES, DEAD = 0.3, 8.0, 0.8  # share of failures over so many tries; when it is surely dead
-CROWDED = 2.0  # times the usual time of good answers: failing by load, not by sickness
+EJECT_AT, EJECT_TRIES, DEAD, CROWDED = 0.3, 8.0, 0.8, 2.0  # failures over tries; surely dead; slow by load
 PANIC_SHARE = 0.4  # of the ready servers: never eject more
 TRICKLE, HOLD, HOLD_MOST = 0.05, 3.0, 16.0  # of an even share, while ejected; for cycles, doubled up to
 # Channel
@@ -305,7 +304,8 @@
     def learn_level(self, usual: float) -> None:
         """Capacity per listed size of the fleet: load over target use, rising while answers stay quick."""
         ready = self.ready()
-        load = sum(v.rate + self.others_rate(v) for v in ready) / max(1.0, sum(v.size for v in ready))
+        load = sum(v.rate * (1 - v.failing) + self.others_rate(v) for v in ready)  # refused tries are no load
+        load /= max(1.0, sum(v.size for v in ready))
         self.calm = min(usual, self.calm * (1 + CALM_DRIFT)) if self.calm else usual
         if usual < CALM_SPAN * self.calm:
             self.level *= 1 + LEVEL_RISE
@@ -371,7 +371,7 @@
     def sick(self, view: ServerView) -> bool:
         """Failing while its good answers are as quick as others': a crowded server answers slowly instead,
         and gets less by its score; ejecting it would only crowd the rest."""
-        usual = median([v.good for v in self.servers.values() if v.good is not None])
+        usual = median([v.good for v in self.servers.values() if v.good])
         return view.failing > DEAD or view.good is None or view.good < CROWDED * usual
 
     def spread(self) -> dict[Key, Rates]:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -462,3 +462,12 @@
     desk.slots(5)
     desk.listed(entry(0, 0, started=desk.now))
     assert math.isfinite(desk.planner.known_capacity())
+
+
+def test_refused_tries_are_no_sign_of_capacity() -> None:
+    """Found by a rule hunt: in a jam the tries counted as load, and a cold server's limit rose with them."""
+    desk = fleet(load_columns=())
+    desk.slots(8, tries=10)
+    before = desk.planner.level
+    desk.slots(6, tries=100, bad=dict.fromkeys(range(6), 95), mean=100.0)
+    assert desk.planner.level < 2 * before
