--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -37,7 +37,7 @@
 OVERWEIGHT = 1.2  # times its wanted share that a cold server may hold until the next slot
 LEAST_SHARE = 0.005  # lines under this share of a table are left out
 # Health
-EJECT_AT, EJECT_TRIES, DEAD, CROWDED = 0.3, 8.0, 0.8, 2.0  # failures over tries; surely dead; slow by load
+EJECT_AT, EJECT_TRIES, DEAD, CROWDED = 0.3, 8.0, 0.8, 2.0  # failures over tries; dead; slow by load
 PANIC_SHARE = 0.4  # of the ready servers: never eject more
 TRICKLE, HOLD, HOLD_MOST = 0.05, 3.0, 16.0  # of an even share, while ejected; for cycles, doubled up to
 # Channel
@@ -433,13 +433,14 @@
         goals = self.spread()
         for key, table in self.tables.items():
             goal = self.as_shares(goals[key])
-            stay = sum(share for s, share in table.shares.items() if s in goal) or 1.0
-            held = {v.entry.server: table.shares.get(v.entry.server, 0.0) / stay for v in self.ready()}
+            jump = {v.entry.server for v in self.ready() if self.warmth(v) < 1.0 or not table.sent}
+            jump.update(self.urgent)  # what is cold or fails has a goal that is safe, or must be, at once
+            stay = sum(share for s, share in table.shares.items() if s in goal and s not in jump) or math.inf
+            rest = (1.0 - sum(share for s, share in goal.items() if s in jump)) / stay
+            held = {v.entry.server: rest * table.shares.get(v.entry.server, 0.0) for v in self.ready()}
             for server, old in held.items():
                 new = goal.get(server, 0.0)
-                most = STEP * max(old, new)
-                if server in self.urgent or not table.sent or self.warmth(self.servers[server]) < 1.0:
-                    most = math.inf  # what is cold or fails has a goal that is safe, or must be, at once
+                most = math.inf if server in jump else STEP * max(old, new)
                 held[server] = old + bounded(new - old, -most, most)
             table.shares = {s: share for s, share in held.items() if share >= LEAST_SHARE or s in goal}
 
@@ -450,10 +451,10 @@
         shares = {s: trickle if s in out else rate / total for s, rate in placed.items()}
         return {s: share for s, share in shares.items() if share >= LEAST_SHARE or s in out}
 
-    def changed_lines(self, table: Table, only: Iterable[Server] | None = None) -> Rates:
+    def changed_lines(self, table: Table) -> Rates:
         """Lines that moved by over a tenth, with the weights to send."""
         scale, changes = table.scale(), {}
-        for server in dict.fromkeys([*table.shares, *table.sent]) if only is None else only:
+        for server in dict.fromkeys([*table.shares, *table.sent]):
             new, old = scale * table.shares.get(server, 0.0), table.sent.get(server, 0.0)
             if abs(new - old) > WORTH_SENDING * max(new, old) or (old > 0) != (new > 0):
                 changes[server] = new
@@ -493,8 +494,7 @@
         share, waiting = 1.0 if self.slot_at == self.now else DELTA_MESSAGES, False
         for table in self.tables.values():
             users = self.users(table)
-            left = any(s in table.shares and s not in self.urgent for s in table.sent)
-            changes = self.changed_lines(table, self.urgent if left else None)
+            changes = self.changed_lines(table)
             if changes and self.may_write(users, share):
                 self.write(table, users, changes)
             waiting = waiting or (bool(changes) and not self.may_write(users, share))
