Drop what the urgent write did twice or for nothing; one name for a wire item

Urgent writes carry all moved lines, so marking cold servers urgent again did nothing, and the message cap was asked twice.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -489,15 +489,14 @@
         Near the message cap they wait for the slot, which is well within the grace."""
         if not self.urgent:
             return
-        self.urgent.update(dict.fromkeys(s for s, v in self.servers.items() if self.warmth(v) < 1.0))
         self.move_tables()
         share, waiting = 1.0 if self.slot_at == self.now else DELTA_MESSAGES, False
         for table in self.tables.values():
-            users = self.users(table)
-            changes = self.changed_lines(table)
+            users, changes = self.users(table), self.changed_lines(table)
             if changes and self.may_write(users, share):
                 self.write(table, users, changes)
-            waiting = waiting or (bool(changes) and not self.may_write(users, share))
+            elif changes:
+                waiting = True
         if not waiting:
             self.urgent.clear()
 
--- a/stackwheel/drill/wire.py
+++ b/stackwheel/drill/wire.py
@@ -34,14 +34,14 @@
     pass
 
 
+Item: TypeAlias = Create | Down | Event
+
+
 @dataclass(frozen=True, slots=True)
 class Batch:
     clock: float
     number: int
-    records: list[tuple[int, Create | Down | Event]]
-
-
-Fields: TypeAlias = tuple[int, Create | Down | Event]
+    records: list[tuple[int, Item]]
 
 
 class Cursor:
@@ -91,7 +91,7 @@
 
     def __init__(self) -> None:
         self.pages: dict[int, tuple[ServerEntry, ...]] = {}
-        self.readers: dict[int, tuple[str, Callable[[Cursor], Create | Down | Event]]] = {
+        self.readers: dict[int, tuple[str, Callable[[Cursor], Item]]] = {
             1: ("create", read_create),
             2: ("directory_update", self.read_directory),
             3: ("reminder", lambda c: face.TimerFired(c.whole("Q"))),
@@ -114,7 +114,7 @@
             raise WireError(f"batch {number}: clock is not a finite time")
         if length != len(body):
             raise WireError(f"batch {number}: {len(body)} bytes where the header says {length}")
-        records: list[tuple[int, Create | Down | Event]] = []
+        records: list[tuple[int, Item]] = []
         for code, cursor in self.split(body, count, number):
             if code == 15:
                 self.read_ledger(cursor)
