--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -1,9 +1,8 @@
 """The policy: every decision and every tuned value of the planner, in reading order.
 
-The types, events and actions it speaks in are in `stackwheel/interface.py`. Each slot it turns last slot's
-reports into estimates, spreads every zone's demand per class over servers in proportion to spare capacity
-weighted down by a delay-plus-cost score, moves the shared zone-and-class tables a capped step towards that,
-and sends what moved. Drains, losses, restarts and joins do not wait for the slot.
+Its types, events and actions are in `stackwheel/interface.py`. Each slot it turns reports into estimates,
+spreads every zone's demand per class over servers in proportion to spare capacity weighted down by a score of
+delay plus cost, moves the shared tables a capped step and sends what moved. Rule-critical events do not wait.
 """
 
 from __future__ import annotations
@@ -11,6 +10,7 @@
 import math
 import random
 import struct
+import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -20,46 +20,43 @@
 # Estimates
 SMOOTHING, EVIDENCE = 0.5, 10.0  # step of a rate or load to its newest; tries for half an answer time
 FADE, ZONE_FADE = 0.1, 0.2  # a slot's drift of what nobody confirms: to all servers' average, to its server's
-ERROR_AIMS = 2.0  # an error counts as an answer that took so many aims
-PEER_LIFE = 3.0  # cycles for which a peer's figures count
+ERROR_AIMS, PEER_LIFE = 2.0, 3.0  # aims an error counts as; cycles for which a peer's figures count
 TARGET_USE, LEAST_USE = 0.7, 0.45  # the design's; the fleet is never taken to be less used than
-CAPACITY_GAIN, CLEAN = 0.15, 0.05  # step to a new figure; failures up to which served over use is believed
-LEVEL_RISE, CALM_SPAN = 0.03, 1.3  # capacity rises a slot while answers are within this of the quickest
-CALM_DRIFT = 0.01  # by which the quickest is forgotten
+CAPACITY_GAIN, LEVEL_RISE = 0.15, 0.03  # step to a new figure; by which it rises in a slot of quick answers
+CALM_SPAN, CALM_DRIFT = 1.3, 0.01  # quick: within so many times the quickest, which is forgotten by this
 # Spread and tables
 COST_V, SCORE_POWER = 30.0, 3.0  # V: aims of delay that one unit of cross-zone price is worth
 USES = (TARGET_USE, 0.85, 1.0)  # filled in turn: what exceeds the target still goes where there is most room
 ROUNDS, LEAST_ROOM = 4, 0.02  # fillings up to one use; of what a server can do, whatever others send there
+MASS_JOIN, COVER, STAY = 3.0, 1.5, 1.5  # cycles to bind all proxies in; of demand; more to keep a line
 COLD_USE = 0.22  # of fall_multiple times what a cold server can do: the most it is given
-JAM, HEARD, JAM_SLOW = 0.2, 0.3, 1.5  # tries failing, traffic heard, quickest times: keep cold servers out
-STEP = 0.2  # the design's: the most a weight moves in a slot, of itself or its target
-WORTH_SENDING = 0.1  # the design's: a line goes out when it moved by more than this
-OVERWEIGHT = 1.2  # times its wanted share that a cold server may hold until the next slot
-LEAST_SHARE = 0.005  # lines under this share of a table are left out
+HEARD, JAM_SLOW = 0.3, 1.5  # of the traffic; quickest times: keep cold servers out
+STEP, WORTH_SENDING = 0.2, 0.1  # the design's: most a weight moves in a slot; least that is sent
+OVERWEIGHT, LEAST_SHARE = 1.2, 0.005  # of its share: a cold or ejected line over it is urgent; least line
 # Health
 EJECT_AT, EJECT_TRIES, DEAD, CROWDED = 0.3, 8.0, 0.8, 2.0  # failures over tries; dead; slow by load
 PANIC_SHARE = 0.4  # of the ready servers: never eject more
 TRICKLE, HOLD, HOLD_MOST = 0.05, 3.0, 16.0  # of an even share, while ejected; for cycles, doubled up to
 # Channel
-PACE = 0.4  # of the stated rate, for changes
-DELTA_BACKLOG, JOIN_BACKLOG, DELTA_MESSAGES = 0.4, 0.8, 0.6  # of the backlog limit; of the message cap
-SLOWEST = 0.2  # the queue is modelled as if the channel ran at this share of its rate
+PACE, PACE_SPAN = 0.4, 2.0  # of the stated rate, for changes; cycles of it for one zone's in one go
+BUSY, FULL, DELTA_MESSAGES = 0.25, 0.8, 0.6  # of the backlog: add to no queue over; nor beyond; of the cap
+SLOWEST, MARKS = 0.2, 1 << 16  # share of its rate an unheard channel is taken to run at; numbers of marks
 # Admission
 SLOW_AIMS, SLOW_CALM = 0.3, 1.7  # half of the traffic slower than so many aims and quickest times
 FULL_USE = 0.92  # of known capacity, or of what is answered under overload: more demand than that is shed
 SHED_GAIN, SHED_BACK, SHED_MOST = 0.5, 0.2, 0.95  # step to there; share back in a calm slot; limit
 LEAST_LEVEL, ALL, NO_LIMIT = 0.05, 0.99, 1e6  # least share let in; what counts as all; no rate limit
 FURTHER_TRY = Retry.ONCE_IF_UNTRIED  # safe for any class; after any failure it doubled the work under strain
-PEER_LINE, PEER_LINES = struct.Struct(">6sH"), 32  # a server, tenths of requests a second
-SLOT_TOKEN, LIST_TOKEN = 1 << 32, 2 << 32
+PEER_LINE, PEER_LINES = struct.Struct(">6sH"), 32  # a server, tenths of requests a second; lines a message
+SLOT_TOKEN, LIST_TOKEN, NOW, SOON, LATER = 1 << 32, 2 << 32, 0, 1, 2  # timers; how long a line may wait
 Key = tuple[int, int]  # zone and class: what a table is for
 Rates = dict[Server, float]
+Move = tuple[int, float, int, Server, float]  # how long it may wait; less the more; a table's place; weight
+Heard = tuple[float, float, float, float]  # until when a report holds; answer time; tries, answers a second
 
 
 @dataclass(slots=True)
 class ServerView:
-    """What this planner knows of a server."""
-
     entry: ServerEntry
     capacity: float = 0.0  # requests a second when warm
     rates: dict[int, float] = field(default_factory=dict)  # tries a second of our proxies, by their zone
@@ -68,7 +65,7 @@
     good: float | None = None  # mean time of good answers alone
     failing: float = 0.0  # share of tries
     load: dict[str, float] = field(default_factory=dict)  # its own report
-    heard: set[int] = field(default_factory=set)  # zones that reported since the last slot
+    heard: dict[int, Heard] = field(default_factory=dict)  # the newest report of each zone
     ejected_until: float = 0.0
     hold: float = 0.0
 
@@ -107,32 +104,50 @@
 
 
 class Outbox:
-    """Owns the channel: models its queue and each proxy's messages, and says what still fits."""
+    """Owns the channel: its queue, as acknowledgements show it, each proxy's messages, what still fits."""
 
     def __init__(self, settings: Settings) -> None:
-        self.settings, self.queued, self.at = settings, 0.0, 0.0
+        self.settings, self.queued, self.at, self.marks = settings, 0.0, 0.0, 0
+        self.head = settings.overhead + 1.0  # with the mark
+        self.pace = PACE * settings.channel_rate / 1000.0  # lines a millisecond for changes
+        self.allowance = self.span = PACE_SPAN * settings.cycle * self.pace
+        self.waiting: dict[int, list[float]] = {}  # by mark, oldest first: lines unheard of, lines a message
 
     def advance(self, now: float) -> None:
         gone = (now - self.at) / 1000.0 * self.settings.channel_rate * SLOWEST
-        self.queued, self.at = max(0.0, self.queued - gone), now
+        self.queued = max(0.0, self.queued - gone)
+        self.allowance, self.at = min(self.span, self.allowance + (now - self.at) * self.pace), now
+
+    def acknowledge(self, mark: int) -> None:
+        """Messages leave in order: what was ordered before an acknowledged one has left the queue."""
+        if mark in self.waiting:
+            self.waiting = dict(list(self.waiting.items())[list(self.waiting).index(mark):])
+            self.waiting[mark][0] -= self.waiting[mark][1]
+            self.queued = min(self.queued, sum(left for left, _ in self.waiting.values()))
 
-    def fits(self, lines: float, share: float) -> bool:
-        return not self.settings.backlog or self.queued + lines <= self.settings.backlog * share
+    def room(self, lines: dict[int, int], share: float) -> float:
+        """Lines that still fit under a share of the limit, after those of this reply."""
+        ordered = self.queued + sum(lines.values()) + len(lines) * self.head
+        return (self.settings.backlog or math.inf) * share - ordered
 
     def may_write(self, proxy: ProxyView, share: float) -> bool:
         proxy.written = [at for at in proxy.written if at > self.at - self.settings.message_window]
         cap = self.settings.message_cap
         return not cap or len(proxy.written) + 1 <= max(1.0, cap * share)
 
-    def charge(self, proxies: dict[int, ProxyView], lines: dict[int, int]) -> None:
-        for number, count in lines.items():
-            self.queued += count + self.settings.overhead
+    def charge(self, proxies: dict[int, ProxyView], lines: dict[int, int]) -> list[Action]:
+        """Book the messages of a reply; the mark tells when they have arrived."""
+        if not lines:
+            return []
+        cost = sum(lines.values()) + len(lines) * self.head
+        for number in lines:
             proxies[number].written.append(self.at)
+        self.queued, self.marks = self.queued + cost, (self.marks + 1) % MARKS
+        self.waiting[self.marks] = [cost, cost / len(lines)]
+        return [face.Mark(self.marks, False)]
 
 
 class Planner:
-    """One planner instance: events in, actions out."""
-
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings, self.random, self.outbox = settings, random.Random(seed), Outbox(settings)
         self.places = range(len(settings.classes))
@@ -143,28 +158,26 @@
         self.servers: dict[Server, ServerView] = {}
         self.proxies: dict[int, ProxyView] = {}
         self.tables: dict[Key, Table] = {}
-        self.slices: dict[int, Rates] = {}
         self.peers: dict[int, tuple[float, Rates]] = {}  # when heard, and what they send where
-        self.urgent: dict[Server, None] = {}  # servers whose lines must be right at once
-        self.met: list[tuple[float, float, float]] = []  # this slot's answer times, rates, rates answered
+        self.urgent = False  # some line must be right at once
+        self.written = [-math.inf] * settings.zones  # when changes last went to all proxies of a zone
         self.shed = self.level = self.calm = 0.0
 
     def handle(self, now: float, events: Iterable[Event]) -> list[Action]:
         """Take in a batch, act at once on what the rules hang on, and run the slot when it is due."""
         starting, self.now, self.actions, self.lines = self.slot_at == -math.inf, now, [], {}
         self.outbox.advance(now)
+        if self.settings.slices:  # tables there belong to slices, which this policy does not serve
+            return []
         self.actions += [face.Subscribe()] if starting and self.settings.list_on_request else []
         due = [self.take(event) for event in events].count(True) > 0 or starting
-        if self.settings.slices:
-            self.slot_at = now
-            self.keep_slices()
-        else:
-            if due or (self.reported and now - self.slot_at >= 0.6 * self.settings.cycle):
-                self.run_slot()
-            self.write_urgent()
-            self.bind_joined()
-        self.outbox.charge(self.proxies, self.lines)
-        return self.actions
+        if due or (self.reported and now - self.slot_at >= 0.6 * self.settings.cycle):
+            self.run_slot()
+        elif self.urgent and self.outbox.room(self.lines, BUSY) > 0:
+            self.move_tables()
+            self.send_changes()
+        self.bind_joined()
+        return self.actions + self.outbox.charge(self.proxies, self.lines)
 
     def take(self, event: Event) -> bool:
         """Update what is known; true if the slot timer fired."""
@@ -180,14 +193,11 @@
                                                        for _ in self.places])
             case face.ProxyLeft(proxy):
                 self.proxies.pop(proxy, None)
+            case face.Acknowledged(_, mark, _):
+                self.outbox.acknowledge(mark)
             case face.PeerMessage(sender, payload):
-                self.peers[sender] = (self.now, read_peer(payload))
-            case face.SliceGranted(table, granted):
-                self.slices[table] = {}
-                if not granted:
-                    del self.slices[table]
-            case face.SliceLine(table, server, weight):
-                self.slices.setdefault(table, {})[server] = weight
+                told = self.peers.get(sender, (0.0, {}))[1]
+                self.peers[sender] = self.now, {**told, **read_peer(payload)}
             case face.TimerFired(token) if token == LIST_TOKEN:
                 self.actions.append(face.Subscribe())
         return event == face.TimerFired(SLOT_TOKEN + self.slot)
@@ -197,22 +207,22 @@
         if update.scope is face.ListScope.FAILED:
             self.actions.append(face.SetTimer(self.settings.cycle * (0.5 + self.random.random()), LIST_TOKEN))
             return
-        for entry in update.entries:
-            if entry.availability is not face.Availability.GONE:
-                self.take_entry(entry)
-        gone = {entry.server for entry in update.entries if entry.availability is face.Availability.GONE}
+        entries = {entry.server: entry for entry in update.entries}
+        gone = {s for s, entry in entries.items() if entry.availability is face.Availability.GONE}
+        for entry in [entry for s, entry in entries.items() if s not in gone]:
+            self.take_entry(entry)
         if update.scope is not face.ListScope.CHANGES:
-            gone |= self.servers.keys() - {entry.server for entry in update.entries}
+            gone |= self.servers.keys() - entries.keys()
         for server in [s for s in self.servers if s in gone and not self.settings.only_draining_binds]:
             del self.servers[server]
-            self.urgent[server] = None
+            self.urgent = True
 
     def take_entry(self, entry: ServerEntry) -> None:
         known = self.servers.setdefault(entry.server, ServerView(entry))
         if entry.started > known.entry.started:  # same id, new process: what was measured no longer holds
             self.servers[entry.server] = ServerView(entry, known.capacity, known.rates)
-        if entry.started > known.entry.started or entry.availability is not known.entry.availability:
-            self.urgent[entry.server] = None
+        self.urgent |= (entry.started > known.entry.started
+                        or entry.availability is not known.entry.availability)
         self.servers[entry.server].entry = entry
 
     def ready(self) -> list[ServerView]:
@@ -236,6 +246,10 @@
     def ejected(self, view: ServerView) -> bool:
         return view.ejected_until > self.now
 
+    def sound(self, view: ServerView) -> bool:
+        """Fit to take any share at once, while it is ready."""
+        return self.warmth(view) >= 1.0 and not self.ejected(view)
+
     def take_report(self, report: face.ServerReport) -> None:
         """Count an error as a slow answer, so that failing fast attracts nothing."""
         view, tries = self.servers.get(report.server), report.tries
@@ -255,9 +269,9 @@
         for name, value in zip(self.settings.load_columns, report.load, strict=False):
             if 0 <= value < math.inf:
                 view.load[name] = blend(view.load.get(name), value, SMOOTHING)
-        view.heard.add(report.zone)
-        if not self.ejected(view):
-            self.met.append((answer, seen, seen * (1 - bad)))
+        if bad < 1.0 and good < CALM_SPAN * self.calm:  # what is lost beside quick answers is no sign of load
+            answer = good
+        view.heard[report.zone] = self.now + report.window, answer, seen, seen * (1 - bad)
 
     def take_demand(self, report: face.DemandReport) -> None:
         proxy, place = self.proxies.get(report.proxy), report.request_class
@@ -270,6 +284,7 @@
         return [sum(rates) for rates in zip(*mine, strict=True)] or [0.0] * len(self.places)
 
     def run_slot(self) -> None:
+        self.slot, self.slot_at = self.slot + 1, self.now
         if self.reported:
             self.update_estimates()
             self.judge_health()
@@ -278,20 +293,17 @@
         self.reported = False
         self.move_tables()
         self.send_changes()
-        for table in self.tables.values():
-            self.urgent.update(dict.fromkeys(self.overweight(table)))
-        self.slot, self.slot_at = self.slot + 1, self.now
         self.actions.append(face.SetTimer(1.25 * self.settings.cycle, SLOT_TOKEN + self.slot))
 
     def update_estimates(self) -> None:
         usual = self.usual_answer()
         for view in self.servers.values():
+            view.heard = {zone: heard for zone, heard in view.heard.items() if heard[0] > self.now}
             if not view.heard and view.answer is not None:  # silence is no health and no death
                 view.answer = blend(view.answer, usual, FADE)
             for zone in [z for z in view.delay if z not in view.heard]:
                 view.rates[zone] *= 1 - ZONE_FADE
                 view.delay[zone] = blend(view.delay[zone], view.answer or usual, ZONE_FADE)
-            view.heard.clear()
         self.learn_level(usual)
         self.expect_capacity()
         for view in self.servers.values():
@@ -325,8 +337,6 @@
         """Served rate over use where use is reported, else by how its answer time compares."""
         if "utilization" in view.load:
             seen = (view.rate + self.others_rate(view)) / bounded(view.load["utilization"], 0.1, 1.0)
-            if view.failing > CLEAN:  # a sick server's quick errors must not look like capacity
-                seen = min(seen, view.capacity)
         else:
             seen = self.level * view.size * bounded(usual / max(1e-3, view.answer or usual), 0.5, 1.5)
         view.capacity = blend(view.capacity, seen, CAPACITY_GAIN)
@@ -338,19 +348,17 @@
         heard = sum(rates.get(view.entry.server, 0.0) for rates in fresh)
         if len(fresh) >= self.settings.planners - 1:
             return heard
+        total = view.rate * self.settings.planners
         if "outstanding" in view.load and view.answer is not None:
             total = view.load["outstanding"] * 1000.0 / max(1.0, view.answer)
-        elif "utilization" in view.load:
-            total = view.load["utilization"] * view.capacity
-        else:
-            total = view.rate * self.settings.planners
         return max(heard, total - view.rate)
 
     def tell_peers(self) -> None:
+        """What we send to each server, none left out, in as many short messages as it takes."""
         if self.settings.peers_allowed and self.settings.planners > 1:
-            known = sorted((-v.rate, s) for s, v in self.servers.items() if v.rate > 0)[:PEER_LINES]
-            lines = [PEER_LINE.pack(server, min(65535, round(-rate * 10))) for rate, server in known]
-            self.actions.append(face.TellPeers(b"".join(lines)))
+            lines = [PEER_LINE.pack(s, min(65535, round(v.rate * 10))) for s, v in self.servers.items()]
+            for first in range(0, len(lines), PEER_LINES):
+                self.actions.append(face.TellPeers(b"".join(lines[first:first + PEER_LINES])))
 
     def judge_health(self) -> None:
         """Eject servers that keep failing while most do not; never past the panic share."""
@@ -365,12 +373,11 @@
                   and out + 1 <= PANIC_SHARE * len(ready)):
                 view.hold = min(HOLD_MOST, max(HOLD, 2 * view.hold))
                 view.ejected_until = self.now + view.hold * self.settings.cycle
-                self.urgent[view.entry.server] = None
+                self.urgent = True
                 out += 1
 
     def sick(self, view: ServerView) -> bool:
-        """Failing while its good answers are as quick as others': a crowded server answers slowly instead,
-        and gets less by its score; ejecting it would only crowd the rest."""
+        """Failing while its good answers are quick: a crowded server is slow and gets less by its score."""
         usual = median([v.good for v in self.servers.values() if v.good])
         return view.failing > DEAD or view.good is None or view.good < CROWDED * usual
 
@@ -382,12 +389,12 @@
         pull = {key: self.attraction(*key) for key in keys}
         left = {(zone, place): max(1e-3, self.demand(zone)[place]) for zone, place in keys}
         placed = {key: dict.fromkeys(pull[key], 0.0) for key in keys}
-        used = dict.fromkeys(self.servers, 0.0)
         for use in USES:
+            used = {s: sum(rates.get(s, 0.0) for rates in placed.values()) for s in self.servers}
             room = {s: max(0.0, self.room(v, present[s], use) - used[s]) for s, v in self.servers.items()}
             for place in order:
                 for _ in range(ROUNDS):
-                    fill([key for key in keys if key[1] == place], left, pull, room, used, placed)
+                    fill([key for key in keys if key[1] == place], left, pull, room, placed)
         for key in keys:
             self.place_excess(left[key], placed[key], present)
         return placed
@@ -401,40 +408,55 @@
     def attraction(self, zone: int, place: int) -> Rates:
         """The score, answer time in aims plus V times the cross-zone price, as a weight falling with it."""
         found, jam, usual = {}, self.jammed(place, zone), self.usual_answer()
-        for view in self.open_to(place, zone):
+        for view in self.chosen(place, zone):
             if not jam or self.warmth(view) >= 1.0:
                 cost = self.settings.cross_zone_price if view.entry.zone != zone else 0.0
                 score = 1.0 + view.delay.get(zone, view.answer or usual) / self.mean_aim + COST_V * cost
                 found[view.entry.server] = 0.0 if self.ejected(view) else score**-SCORE_POWER
         return found
 
-    def jammed(self, place: int, zone: int) -> bool:
-        """Proxies that avoid failing servers all turn to a fresh one: in a jam no cold one is let in.
+    def chosen(self, place: int, zone: int) -> list[ServerView]:
+        """What a table holds, the nearest first, then by a fixed draw: whole tables of many servers swamp
+        the channel, and each proxy opens too many connections."""
+        sent = MASS_JOIN * self.settings.cycle * self.settings.channel_rate / 1000.0
+        each = sent * self.settings.planners / max(1, self.settings.proxies)
+        lines = (each - self.outbox.head) / max(1, len(self.places)) - 2
+        need = COVER * sum(self.demand(zone)) * self.settings.planners / TARGET_USE
+        found, held, count, covered = [], self.tables[zone, place].shares, 0, 0.0
+        price, own = COST_V * self.settings.cross_zone_price, bytes([zone % 256, self.settings.planner % 256])
+        draws = [(zlib.crc32(v.entry.server + own) / 2**32 + price * (v.entry.zone != zone), v.entry.server)
+                 for v in self.open_to(place, zone)]
+        for _, server in sorted(draws):
+            view = self.servers[server]
+            slack = STAY if view.entry.server in held else 1.0
+            if count < slack * lines or covered < slack * need:
+                found.append(view)
+                count += self.sound(view)
+                covered += 0.0 if self.ejected(view) else view.capacity * self.warmth(view)
+        return found
 
-        Acts where proxies judge by strikes and much of the traffic fails at warm servers, or answers are
-        slow, as reports come late; and anywhere until a fair part is heard, as a start may be into a jam."""
+    def jammed(self, place: int, zone: int) -> bool:
+        """Keeps cold servers out: proxies that judge by strikes all turn to them while others are slow."""
         warm = [v for v in self.open_to(place, zone) if self.warmth(v) >= 1.0]
-        failing = sum(v.failing * v.rate for v in warm) > JAM * sum(v.rate for v in warm)
         slow = self.usual_answer() > JAM_SLOW * min(self.calm, SLOW_AIMS * self.mean_aim)
         unheard = sum(v.rate for v in self.servers.values()) < HEARD * (1 - self.shed) * sum(self.demand())
-        return bool(warm) and (unheard or (self.settings.strikes > 0 and (failing or slow)))
+        return bool(warm) and (unheard or (self.settings.strikes > 0 and slow))
 
     def place_excess(self, left: float, placed: Rates, present: Rates) -> None:
         """All demand is placed: what found no room spreads by capacity, over warm servers if any."""
-        sound = [s for s in placed if not self.ejected(self.servers[s])]
-        able = [s for s in sound if self.warmth(self.servers[s]) >= 1.0] or sound or list(placed)
+        able = [s for s in placed if self.sound(self.servers[s])]
+        able = able or [s for s in placed if not self.ejected(self.servers[s])] or list(placed)
         total = sum(present[s] for s in able)
         for server in able:
             placed[server] += left * present[server] / total
 
     def move_tables(self) -> None:
-        """Move every table a capped step towards the spread."""
+        """Move every table a capped step towards the spread; what is cold or fails jumps to its safe goal."""
         self.expect_capacity()
         goals = self.spread()
         for key, table in self.tables.items():
             goal = self.as_shares(goals[key])
-            jump = {v.entry.server for v in self.ready() if self.warmth(v) < 1.0 or not table.sent}
-            jump.update(self.urgent)  # what is cold or fails has a goal that is safe, or must be, at once
+            jump = {v.entry.server for v in self.ready() if not self.sound(v) or not table.sent}
             stay = sum(share for s, share in table.shares.items() if s in goal and s not in jump) or math.inf
             rest = (1.0 - sum(share for s, share in goal.items() if s in jump)) / stay
             held = {v.entry.server: rest * table.shares.get(v.entry.server, 0.0) for v in self.ready()}
@@ -451,60 +473,49 @@
         shares = {s: trickle if s in out else rate / total for s, rate in placed.items()}
         return {s: share for s, share in shares.items() if share >= LEAST_SHARE or s in out}
 
-    def changed_lines(self, table: Table) -> Rates:
-        """Lines that moved by over a tenth, with the weights to send."""
-        scale, changes = table.scale(), {}
+    def send_changes(self) -> None:
+        """Zones in turn, the least lately written first, so that none starves another."""
+        self.urgent = False
+        for zone in sorted({zone for zone, _ in self.tables}, key=lambda z: (self.written[z], z)):
+            self.send_zone(zone, [table for table in self.tables.values() if table.zone == zone])
+
+    def send_zone(self, zone: int, tables: list[Table]) -> None:
+        """Send a zone's proxies in one message what must not wait, then the largest moves, as many as fit."""
+        users = [number for number, p in self.proxies.items() if p.zone == zone and p.bound]
+        moves = sorted(move for place, table in enumerate(tables) for move in self.moves(place, table))
+        levels = [self.wanted_level(table) for table in tables]
+        news = any(differs(level, table.level) for table, level in zip(tables, levels, strict=True))
+        pressing, each = sum(1 for move in moves if move[0] < LATER), max(1, len(users))
+        usual = self.outbox.span / each - self.outbox.head
+        usual = max(self.outbox.head, usual) if self.outbox.allowance > 0 else 0.0
+        full = self.outbox.room(self.lines, FULL) / each - self.outbox.head - len(tables) * news
+        most = int(bounded(max(pressing, usual), 0, max(0, full)))
+        share = 1.0 if pressing and self.slot_at == self.now else DELTA_MESSAGES  # near the cap: the slot
+        fits = all(self.outbox.may_write(self.proxies[u], share) for u in users if u not in self.lines)
+        chosen = moves[:most] if fits and self.outbox.room(self.lines, BUSY) > 0 else []
+        self.urgent |= sum(1 for move in chosen if move[0] < LATER) < pressing
+        if chosen or (news and usual and fits and full > 0):
+            for place, table in enumerate(tables):
+                self.write(table, users, {s: w for _, _, at, s, w in chosen if at == place}, levels[place])
+            self.outbox.allowance -= each * (self.outbox.head + len(chosen)) if usual else 0.0
+            self.written[zone] = self.now
+
+    def moves(self, place: int, table: Table) -> list[Move]:
+        """Lines that moved by over a tenth: first what is unsafe as it stands, then the largest moves."""
+        scale, ready, found = table.scale(), {v.entry.server: v for v in self.ready()}, []
         for server in dict.fromkeys([*table.shares, *table.sent]):
             new, old = scale * table.shares.get(server, 0.0), table.sent.get(server, 0.0)
+            safe = old <= OVERWEIGHT * new or (server in ready and self.sound(ready[server]))
             if abs(new - old) > WORTH_SENDING * max(new, old) or (old > 0) != (new > 0):
-                changes[server] = new
-        return changes
-
-    def overweight(self, table: Table) -> list[Server]:
-        """Cold servers that hold more of a table than is safe, since other lines left it."""
-        most = OVERWEIGHT * table.scale()
-        heavy = [s for s, weight in table.sent.items() if weight > most * table.shares.get(s, 0.0)]
-        return [s for s in heavy if s in self.servers and self.warmth(self.servers[s]) < 1.0]
-
-    def users(self, table: Table) -> list[int]:
-        return [number for number, p in self.proxies.items() if p.zone == table.zone and p.bound]
-
-    def may_write(self, users: list[int], share: float) -> bool:
-        return all(self.outbox.may_write(self.proxies[u], share) for u in users if u not in self.lines)
+                wait = LATER if safe else SOON if server in ready else NOW
+                found.append((wait, -abs(new - old), place, server, new))
+        return found
 
-    def send_changes(self) -> None:
-        """Send what moved, within the pace, the backlog and a share of the message cap."""
-        budget = PACE * self.settings.channel_rate * self.settings.cycle / 1000.0
-        for table in self.tables.values():
-            users, changes, level = self.users(table), self.changed_lines(table), self.wanted_level(table)
-            cost = len(users) * (len(changes) + 1 + self.settings.overhead)
-            fits = cost <= budget and self.outbox.fits(cost, DELTA_BACKLOG)
-            if fits and self.may_write(users, DELTA_MESSAGES):
-                budget -= cost if changes else 0.0
-                self.write(table, users, changes, level)
-
-    def write_urgent(self) -> None:
-        """Lines of servers that drained, went, restarted or were ejected change at once in every table.
-
-        Near the message cap they wait for the slot, which is well within the grace."""
-        if not self.urgent:
-            return
-        self.move_tables()
-        share, waiting = 1.0 if self.slot_at == self.now else DELTA_MESSAGES, False
-        for table in self.tables.values():
-            users, changes = self.users(table), self.changed_lines(table)
-            if changes and self.may_write(users, share):
-                self.write(table, users, changes)
-            elif changes:
-                waiting = True
-        if not waiting:
-            self.urgent.clear()
-
-    def write(self, table: Table, users: list[int], changes: Rates, level: face.Level | None = None) -> None:
+    def write(self, table: Table, users: list[int], changes: Rates, level: face.Level) -> None:
         """Order lines, and the level where it differs, of a table."""
         orders: list[Action] = [face.SetWeight(table.number, s, weight) for s, weight in changes.items()]
         table.sent = {s: weight for s, weight in {**table.sent, **changes}.items() if weight > 0}
-        if level and differs(level, table.level):
+        if differs(level, table.level):
             table.level = level
             orders.append(face.SetAdmission(table.number, (table.place,), *level))
         self.actions += orders
@@ -512,11 +523,13 @@
             self.lines[user] = self.lines.get(user, 0) + len(orders)
 
     def bind_joined(self) -> None:
-        """A proxy that joined gets its zone's whole tables, which replace the standing ones."""
-        for number, proxy in [(n, p) for n, p in self.proxies.items() if not p.bound]:
+        """A proxy that joined gets its zone's whole tables in place of the standing ones; busiest first."""
+        joined = [number for number, p in self.proxies.items() if not p.bound]
+        for number in sorted(joined, key=lambda n: (-sum(self.proxies[n].demand), n)):
+            proxy = self.proxies[number]
             tables = [self.table_for((proxy.zone, place)) for place in self.places]
             lines = sum(len(table.sent) + 2 for table in tables)
-            if not self.outbox.fits(lines + sum(self.lines.values()), JOIN_BACKLOG):
+            if min(self.outbox.room(self.lines, BUSY), self.outbox.room(self.lines, FULL) - lines) < 0:
                 return
             self.actions += [face.AssignTable(number, table.number, (table.place,)) for table in tables]
             self.lines[number], proxy.bound = lines, True
@@ -525,19 +538,19 @@
         if key not in self.tables:
             self.tables[key] = table = Table(key[0] * len(self.places) + key[1], *key)
             self.move_tables()
-            self.write(table, [], self.changed_lines(table), self.wanted_level(table))
+            self.write(table, [], table.shares, self.wanted_level(table))
         return self.tables[key]
 
     def set_shedding(self) -> None:
         """Shed what is beyond known capacity, and while half of the traffic is slow what is not answered."""
-        middle = median([line[0] for line in self.met], [line[1] for line in self.met])
-        answered = sum(line[2] for line in self.met)  # in this slot alone: an average lags a jam's end
+        met = [heard for v in self.servers.values() if not self.ejected(v) for heard in v.heard.values()]
+        middle = median([answer for _, answer, _, _ in met], [tries for _, _, tries, _ in met])
+        answered = sum(rate for _, _, _, rate in met)  # by the newest reports: an average lags a jam's end
         demand = max(1e-3, sum(self.demand()))
         if middle > max(SLOW_AIMS * self.mean_aim, SLOW_CALM * self.calm):
             self.shed += SHED_GAIN * max(0.0, 1.0 - FULL_USE * answered / demand - self.shed)
         else:
             self.shed -= SHED_BACK * (0.1 + self.shed)
-        self.met.clear()
         least = bounded(1.0 - FULL_USE * self.known_capacity() / demand, 0.0, SHED_MOST)
         self.shed = bounded(self.shed, least, SHED_MOST)
 
@@ -560,29 +573,14 @@
         return 1.0
 
     def wanted_level(self, table: Table) -> face.Level:
-        share = self.admitted(table.place)
-        level = share if share < ALL else 1.0
-        if self.settings.admission == "rate":
-            rates = [p.demand[table.place] for p in self.proxies.values() if p.zone == table.zone]
-            level = rate_cap(rates, share) if share < ALL else NO_LIMIT
-        return level, FURTHER_TRY
-
-    def keep_slices(self) -> None:
-        """Sites with slices: one keeps its server while that is ready; else it goes to who has fewest."""
-        held = dict.fromkeys(sorted(view.entry.server for view in self.ready()), 0)
-        for server in [s for lines in self.slices.values() for s in lines if s in held]:
-            held[server] += 1
-        for number, lines in self.slices.items():
-            if held and not any(server in held for server in lines):
-                chosen = min(held, key=lambda s: (held[s], s))
-                held[chosen] += 1
-                self.actions.append(face.SetWeight(number, chosen, 1.0))
-                if not self.settings.exclusive:
-                    self.actions += [face.SetWeight(number, s, 0.0) for s in lines]
-                self.slices[number] = {chosen: 1.0}
-
-
-def fill(keys: list[Key], left: dict[Key, float], pull: dict[Key, Rates], room: Rates, used: Rates,
+        share, by_rate = self.admitted(table.place), self.settings.admission == "rate"
+        if share >= ALL or not by_rate:
+            return (share if share < ALL else NO_LIMIT if by_rate else 1.0), FURTHER_TRY
+        rates = [p.demand[table.place] for p in self.proxies.values() if p.zone == table.zone]
+        return rate_cap(rates, share), FURTHER_TRY
+
+
+def fill(keys: list[Key], left: dict[Key, float], pull: dict[Key, Rates], room: Rates,
          placed: dict[Key, Rates]) -> None:
     """One round: each zone asks in proportion to room times attraction, servers grant up to their room."""
     asks: dict[Key, Rates] = {}
@@ -599,7 +597,6 @@
             placed[key][server] += rate * granted[server]
             left[key] -= rate * granted[server]
             room[server] -= rate * granted[server]
-            used[server] += rate * granted[server]
 
 
 def bounded(value: float, low: float, high: float) -> float:
@@ -607,8 +604,7 @@
 
 
 def blend(old: float | None, new: float, gain: float) -> float:
-    """Move an estimate towards a new figure; the first figure counts whole."""
-    return new if old is None else old + gain * (new - old)
+    return new if old is None else old + gain * (new - old)  # the first figure counts whole
 
 
 def median(values: list[float], weights: list[float] | None = None) -> float:
