Tables hold all open servers again; levels wait for a short queue and use up no zone's turn

A part of the servers in each table (by nearness and a fixed draw) was the first answer to the mass join. Errors of capacity concentrate on the few servers of a short table.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -10,7 +10,6 @@
 import math
 import random
 import struct
-import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -28,7 +27,6 @@
 COST_V, SCORE_POWER = 30.0, 3.0  # V: aims of delay that one unit of cross-zone price is worth
 USES = (TARGET_USE, 0.85, 1.0)  # filled in turn: what exceeds the target still goes where there is most room
 ROUNDS, LEAST_ROOM = 4, 0.02  # fillings up to one use; of what a server can do, whatever others send there
-MASS_JOIN, COVER, STAY = 3.0, 1.5, 1.5  # cycles to bind all proxies in; of demand; more to keep a line
 COLD_USE = 0.22  # of fall_multiple times what a cold server can do: the most it is given
 HEARD, JAM_SLOW = 0.3, 1.5  # of the traffic; quickest times: keep cold servers out
 STEP, WORTH_SENDING = 0.2, 0.1  # the design's: most a weight moves in a slot; least that is sent
@@ -408,33 +406,13 @@
     def attraction(self, zone: int, place: int) -> Rates:
         """The score, answer time in aims plus V times the cross-zone price, as a weight falling with it."""
         found, jam, usual = {}, self.jammed(place, zone), self.usual_answer()
-        for view in self.chosen(place, zone):
+        for view in self.open_to(place, zone):
             if not jam or self.warmth(view) >= 1.0:
                 cost = self.settings.cross_zone_price if view.entry.zone != zone else 0.0
                 score = 1.0 + view.delay.get(zone, view.answer or usual) / self.mean_aim + COST_V * cost
                 found[view.entry.server] = 0.0 if self.ejected(view) else score**-SCORE_POWER
         return found
 
-    def chosen(self, place: int, zone: int) -> list[ServerView]:
-        """What a table holds, the nearest first, then by a fixed draw: whole tables of many servers swamp
-        the channel, and each proxy opens too many connections."""
-        sent = MASS_JOIN * self.settings.cycle * self.settings.channel_rate / 1000.0
-        each = sent * self.settings.planners / max(1, self.settings.proxies)
-        lines = (each - self.outbox.head) / max(1, len(self.places)) - 2
-        need = COVER * sum(self.demand(zone)) * self.settings.planners / TARGET_USE
-        found, held, count, covered = [], self.tables[zone, place].shares, 0, 0.0
-        price, own = COST_V * self.settings.cross_zone_price, bytes([zone % 256, self.settings.planner % 256])
-        draws = [(zlib.crc32(v.entry.server + own) / 2**32 + price * (v.entry.zone != zone), v.entry.server)
-                 for v in self.open_to(place, zone)]
-        for _, server in sorted(draws):
-            view = self.servers[server]
-            slack = STAY if view.entry.server in held else 1.0
-            if count < slack * lines or covered < slack * need:
-                found.append(view)
-                count += self.sound(view)
-                covered += 0.0 if self.ejected(view) else view.capacity * self.warmth(view)
-        return found
-
     def jammed(self, place: int, zone: int) -> bool:
         """Keeps cold servers out: proxies that judge by strikes all turn to them while others are slow."""
         warm = [v for v in self.open_to(place, zone) if self.warmth(v) >= 1.0]
@@ -492,13 +470,14 @@
         most = int(bounded(max(pressing, usual), 0, max(0, full)))
         share = 1.0 if pressing and self.slot_at == self.now else DELTA_MESSAGES  # near the cap: the slot
         fits = all(self.outbox.may_write(self.proxies[u], share) for u in users if u not in self.lines)
-        chosen = moves[:most] if fits and self.outbox.room(self.lines, BUSY) > 0 else []
+        fits = fits and full > 0 and self.outbox.room(self.lines, BUSY) > 0
+        chosen = moves[:most] if fits else []
         self.urgent |= sum(1 for move in chosen if move[0] < LATER) < pressing
-        if chosen or (news and usual and fits and full > 0):
+        if chosen or (news and usual and fits):
             for place, table in enumerate(tables):
                 self.write(table, users, {s: w for _, _, at, s, w in chosen if at == place}, levels[place])
             self.outbox.allowance -= each * (self.outbox.head + len(chosen)) if usual else 0.0
-            self.written[zone] = self.now
+            self.written[zone] = self.now if chosen else self.written[zone]
 
     def moves(self, place: int, table: Table) -> list[Move]:
         """Lines that moved by over a tenth: first what is unsafe as it stands, then the largest moves."""
