Withdraw what went from proxies that wait for tables; keep a slowed channel for the urgent

They are withdrawn, at all who hold them, once a proxy has waited for a third of the grace, and let in again when the server is back. A channel slowed by others shows in late acknowledgements; until its queue is empty only urgent lines go, as a drained server had waited ten seconds behind changes. It may keep weights old for that time. Open: a cut zone during a deploy leaves one planner with 266 proxies; drains of 7 servers each half second and joins overrun its channel.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -23,7 +23,7 @@
 TARGET_USE, LEAST_USE = 0.7, 0.45  # the design's; the fleet is never taken to be less used than
 CAPACITY_GAIN, LEVEL_RISE = 0.15, 0.03  # step to a new figure; by which it rises in a slot of quick answers
 CALM_SPAN, CALM_DRIFT = 1.3, 0.01  # quick: within so many times the quickest, which is forgotten by this
-# Spread and tables
+# Spread, tables and health
 COST_V, SCORE_POWER = 30.0, 3.0  # V: aims of delay that one unit of cross-zone price is worth
 USES = (TARGET_USE, 0.85, 1.0)  # filled in turn: what exceeds the target still goes where there is most room
 ROUNDS, LEAST_ROOM = 4, 0.02  # fillings up to one use; of what a server can do, whatever others send there
@@ -31,14 +31,14 @@
 HEARD, JAM_SLOW = 0.3, 1.5  # of the traffic; quickest times: keep cold servers out
 STEP, WORTH_SENDING = 0.2, 0.1  # the design's: most a weight moves in a slot; least that is sent
 OVERWEIGHT, LEAST_SHARE = 1.2, 0.005  # of its share: a cold or ejected line over it is urgent; least line
-# Health
 EJECT_AT, EJECT_TRIES, DEAD, CROWDED = 0.3, 8.0, 0.8, 2.0  # failures over tries; dead; slow by load
 PANIC_SHARE = 0.4  # of the ready servers: never eject more
 TRICKLE, HOLD, HOLD_MOST = 0.05, 3.0, 16.0  # of an even share, while ejected; for cycles, doubled up to
 # Channel
 PACE, PACE_SPAN = 0.4, 2.0  # of the stated rate, for changes; cycles of it for one zone's in one go
 BUSY, FULL, DELTA_MESSAGES = 0.25, 0.8, 0.6  # of the backlog: add to no queue over; nor beyond; of the cap
-SLOWEST, MARKS = 0.2, 1 << 16  # share of its rate an unheard channel is taken to run at; numbers of marks
+WITHDRAW_AFTER, AWAY_MOST = 0.3, 2  # of the drain grace, waiting for tables; remembered, of the fleet
+SLOWEST, LATE, MARKS = 0.2, 0.6, 1 << 16  # of its rate, if unheard; of a full queue's time: slowed; marks
 # Admission
 SLOW_AIMS, SLOW_CALM = 0.3, 1.7  # half of the traffic slower than so many aims and quickest times
 FULL_USE = 0.92  # of known capacity, or of what is answered under overload: more demand than that is shed
@@ -50,7 +50,6 @@
 Key = tuple[int, int]  # zone and class: what a table is for
 Rates = dict[Server, float]
 Move = tuple[int, float, int, Server, float]  # how long it may wait; less the more; a table's place; weight
-Heard = tuple[float, float, float, float]  # until when a report holds; answer time; tries, answers a second
 
 
 @dataclass(slots=True)
@@ -63,7 +62,7 @@
     good: float | None = None  # mean time of good answers alone
     failing: float = 0.0  # share of tries
     load: dict[str, float] = field(default_factory=dict)  # its own report
-    heard: dict[int, Heard] = field(default_factory=dict)  # the newest report of each zone
+    heard: dict[int, tuple[float, float, float, float]] = field(default_factory=dict)  # as in take_report
     ejected_until: float = 0.0
     hold: float = 0.0
 
@@ -98,6 +97,7 @@
     zone: int
     demand: list[float]  # by class
     written: list[float] = field(default_factory=list)  # when messages went out
+    joined: float = 0.0
     bound: bool = False
 
 
@@ -106,7 +106,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings, self.queued, self.at, self.marks = settings, 0.0, 0.0, 0
-        self.head = settings.overhead + 1.0  # with the mark
+        self.slowed, self.head = False, settings.overhead + 1.0  # with the mark
         self.pace = PACE * settings.channel_rate / 1000.0  # lines a millisecond for changes
         self.allowance = self.span = PACE_SPAN * settings.cycle * self.pace
         self.waiting: dict[int, list[float]] = {}  # by mark, oldest first: lines unheard of, lines a message
@@ -116,9 +116,11 @@
         self.queued = max(0.0, self.queued - gone)
         self.allowance, self.at = min(self.span, self.allowance + (now - self.at) * self.pace), now
 
-    def acknowledge(self, mark: int) -> None:
+    def acknowledge(self, mark: int, elapsed: float) -> None:
         """Messages leave in order: what was ordered before an acknowledged one has left the queue."""
         if mark in self.waiting:
+            full = 1000.0 * self.settings.backlog / self.settings.channel_rate
+            self.slowed = elapsed > 2 * self.settings.transit + LATE * full  # then it is kept for the urgent
             self.waiting = dict(list(self.waiting.items())[list(self.waiting).index(mark):])
             self.waiting[mark][0] -= self.waiting[mark][1]
             self.queued = min(self.queued, sum(left for left, _ in self.waiting.values()))
@@ -158,6 +160,7 @@
         self.tables: dict[Key, Table] = {}
         self.peers: dict[int, tuple[float, Rates]] = {}  # when heard, and what they send where
         self.urgent = False  # some line must be right at once
+        self.away: dict[Server, bool] = {}  # servers that drain or went: whether all joined proxies were told
         self.written = [-math.inf] * settings.zones  # when changes last went to all proxies of a zone
         self.shed = self.level = self.calm = 0.0
 
@@ -175,6 +178,7 @@
             self.move_tables()
             self.send_changes()
         self.bind_joined()
+        self.withdraw_away()
         return self.actions + self.outbox.charge(self.proxies, self.lines)
 
     def take(self, event: Event) -> bool:
@@ -187,12 +191,13 @@
             case face.DemandReport():
                 self.take_demand(event)
             case face.ProxyJoined(proxy, zone, rate, _):
-                self.proxies[proxy] = ProxyView(zone, [bounded(rate, 0.0, NO_LIMIT) / max(1, len(self.places))
-                                                       for _ in self.places])
+                each = [bounded(rate, 0.0, NO_LIMIT) / max(1, len(self.places)) for _ in self.places]
+                self.proxies[proxy] = ProxyView(zone, each, joined=self.now)
+                self.away = dict.fromkeys(self.away, False)
             case face.ProxyLeft(proxy):
                 self.proxies.pop(proxy, None)
-            case face.Acknowledged(_, mark, _):
-                self.outbox.acknowledge(mark)
+            case face.Acknowledged(_, mark, elapsed):
+                self.outbox.acknowledge(mark, elapsed)
             case face.PeerMessage(sender, payload):
                 told = self.peers.get(sender, (0.0, {}))[1]
                 self.peers[sender] = self.now, {**told, **read_peer(payload)}
@@ -213,7 +218,7 @@
             gone |= self.servers.keys() - entries.keys()
         for server in [s for s in self.servers if s in gone and not self.settings.only_draining_binds]:
             del self.servers[server]
-            self.urgent = True
+            self.urgent, self.away[server] = True, False
 
     def take_entry(self, entry: ServerEntry) -> None:
         known = self.servers.setdefault(entry.server, ServerView(entry))
@@ -222,6 +227,10 @@
         self.urgent |= (entry.started > known.entry.started
                         or entry.availability is not known.entry.availability)
         self.servers[entry.server].entry = entry
+        if entry.availability is face.Availability.DRAINING:
+            self.away.setdefault(entry.server, False)
+        elif self.away.pop(entry.server, False):
+            self.actions.append(face.Withdraw(entry.server, False))
 
     def ready(self) -> list[ServerView]:
         return [v for v in self.servers.values() if v.entry.availability is face.Availability.READY]
@@ -452,8 +461,7 @@
         return {s: share for s, share in shares.items() if share >= LEAST_SHARE or s in out}
 
     def send_changes(self) -> None:
-        """Zones in turn, the least lately written first, so that none starves another."""
-        self.urgent = False
+        self.urgent = False  # zones in turn, the least lately written first, so that none starves another
         for zone in sorted({zone for zone, _ in self.tables}, key=lambda z: (self.written[z], z)):
             self.send_zone(zone, [table for table in self.tables.values() if table.zone == zone])
 
@@ -464,8 +472,8 @@
         levels = [self.wanted_level(table) for table in tables]
         news = any(differs(level, table.level) for table, level in zip(tables, levels, strict=True))
         pressing, each = sum(1 for move in moves if move[0] < LATER), max(1, len(users))
-        usual = self.outbox.span / each - self.outbox.head
-        usual = max(self.outbox.head, usual) if self.outbox.allowance > 0 else 0.0
+        usual = max(self.outbox.head, self.outbox.span / each - self.outbox.head)
+        usual *= self.outbox.allowance > 0 and not (self.outbox.slowed and self.outbox.queued > 0)
         full = self.outbox.room(self.lines, FULL) / each - self.outbox.head - len(tables) * news
         most = int(bounded(max(pressing, usual), 0, max(0, full)))
         share = 1.0 if pressing and self.slot_at == self.now else DELTA_MESSAGES  # near the cap: the slot
@@ -503,8 +511,8 @@
 
     def bind_joined(self) -> None:
         """A proxy that joined gets its zone's whole tables in place of the standing ones; busiest first."""
-        joined = [number for number, p in self.proxies.items() if not p.bound]
-        for number in sorted(joined, key=lambda n: (-sum(self.proxies[n].demand), n)):
+        waiting = [(-sum(p.demand), number) for number, p in self.proxies.items() if not p.bound]
+        for _, number in sorted(waiting):
             proxy = self.proxies[number]
             tables = [self.table_for((proxy.zone, place)) for place in self.places]
             lines = sum(len(table.sent) + 2 for table in tables)
@@ -513,6 +521,19 @@
             self.actions += [face.AssignTable(number, table.number, (table.place,)) for table in tables]
             self.lines[number], proxy.bound = lines, True
 
+    def withdraw_away(self) -> None:
+        """Proxies that wait for tables long in terms of the grace hold others: keep them off what went."""
+        waits = [self.now - p.joined for p in self.proxies.values() if not p.bound]
+        news = [server for server, told in self.away.items() if not told]
+        if not news or max(waits, default=0.0) < WITHDRAW_AFTER * self.settings.drain_grace:
+            return
+        zones = {t.zone for t in self.tables.values() if any(server in t.sent for server in news)}
+        holders = [n for n, p in self.proxies.items() if not p.bound or p.zone in zones]
+        if len(holders) * (len(news) + self.outbox.head) <= self.outbox.room(self.lines, FULL):
+            self.actions += [face.Withdraw(server, True) for server in news]
+            self.away = dict.fromkeys(list(self.away)[-AWAY_MOST * len(self.servers):], True)
+            self.lines.update({number: self.lines.get(number, 0) + len(news) for number in holders})
+
     def table_for(self, key: Key) -> Table:
         if key not in self.tables:
             self.tables[key] = table = Table(key[0] * len(self.places) + key[1], *key)
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,190 @@
+"""A large made-up fleet: the channel's limits hold, and what must not wait reaches every proxy in time."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from desk import SETTINGS, Desk, entry, name
+
+from stackwheel import interface as face
+
+GONE, READY = face.Availability.GONE, face.Availability.READY
+SERVERS, PROXIES, ZONES = 120, 175, 3  # of 350 proxies on two planners
+SIZE = replace(SETTINGS, zones=ZONES, planners=2, proxies=2 * PROXIES, overhead=6.0, channel_rate=3000.0,
+               backlog=7000.0, message_cap=20, drain_grace=3000.0, cross_zone_price=0.01, admission="rate")
+
+
+class Fleet(Desk):
+    """A desk behind a channel that sends at a rate and acknowledges what has arrived."""
+
+    def __init__(self, rate: float = SIZE.channel_rate) -> None:
+        self.rate, self.queue, self.longest = rate, 0.0, 0.0
+        self.travelling: list[tuple[int, int, float, float]] = []  # proxy, mark, lines before it is out, ordered
+        self.messages: dict[int, list[float]] = {}
+        self.away: dict[tuple[int, face.Server], float] = {}  # when a proxy stopped sending to a server
+        super().__init__(SIZE, [entry(n, n % ZONES) for n in range(SERVERS)],
+                         [(p, p % ZONES) for p in range(PROXIES)])
+
+    def send(self, *events: face.Event, wait: float = 0.0) -> list[face.Action]:
+        out = min(self.queue, wait / 1000.0 * self.rate)
+        self.queue -= out
+        self.travelling = [(p, m, lines - out, at) for p, m, lines, at in self.travelling]
+        acks = [face.Acknowledged(p, m, self.now + wait - at) for p, m, lines, at in self.travelling if lines <= 0]
+        self.travelling = [line for line in self.travelling if line[2] > 0]
+        actions = super().send(*acks, *events, wait=wait)
+        self.charge(actions)
+        return actions
+
+    def charge(self, actions: list[face.Action]) -> None:
+        lines: dict[int, int] = {}
+        joining = {a.proxy for a in actions if isinstance(a, face.AssignTable)}
+        marks = [a.mark for a in actions if isinstance(a, face.Mark)]
+        for action in actions:
+            match action:
+                case face.AssignTable(proxy, table, _):
+                    lines[proxy] = lines.get(proxy, 0) + 2 + len(self.tables.get(table, {}))
+                case face.SetWeight(table, _, _) | face.SetAdmission(table, _, _, _):
+                    for proxy in [p for p, held in self.bound.items() if table in held.values() and p not in joining]:
+                        lines[proxy] = lines.get(proxy, 0) + 1
+                case face.Withdraw(_, _):
+                    lines = {proxy: lines.get(proxy, 0) + 1 for proxy in self.zones}
+        for proxy, count in lines.items():
+            self.queue += count + SIZE.overhead + len(marks)
+            self.messages.setdefault(proxy, []).append(self.now)
+            self.travelling += [(proxy, mark, self.queue, self.now) for mark in marks]
+        self.longest = max(self.longest, self.queue)
+
+    def second(self, demand: int = 3, tries: int = 8, **how: object) -> None:
+        """One report cycle in steps, so that acknowledgements come as they would."""
+        for _ in range(9):
+            self.send(wait=100.0)
+        self.now -= 900.0  # slot() waits a whole cycle by itself
+        self.slot(tries=tries, demand=demand, zones=range(ZONES), **how)  # type: ignore[arg-type]
+
+    def most_messages(self) -> int:
+        """Written to one proxy within the window, at the most."""
+        span = SIZE.message_window
+        return max(sum(1 for at in times if start <= at < start + span)
+                   for times in self.messages.values() for start in times)
+
+    def joined(self, cycles: int = 14) -> Fleet:
+        for _ in range(cycles):
+            self.second()
+        assert len(self.bound) == PROXIES
+        return self
+
+
+def holders(fleet: Fleet, servers: range) -> int:
+    """Lines that still point at some of the servers."""
+    return sum(name(n) in lines for lines in fleet.tables.values() for n in servers)
+
+
+def test_a_mass_join_is_bound_under_the_backlog() -> None:
+    """Whole tables for all proxies are many backlogs: joins wait for the queue, and none is forgotten."""
+    fleet = Fleet().joined()
+    assert fleet.longest <= SIZE.backlog * 0.85
+    assert fleet.most_messages() <= SIZE.message_cap
+
+
+def test_a_few_lost_servers_leave_every_table_within_the_grace() -> None:
+    fleet = Fleet().joined()
+    lost = range(0, 10 * ZONES, ZONES)
+    fleet.listed(*(entry(n, n % ZONES, GONE) for n in lost))
+    for _ in range(int(0.7 * SIZE.drain_grace / 100.0)):  # the rest is the way of the last message
+        fleet.send(wait=100.0)
+    assert holders(fleet, lost) == 0
+    assert fleet.longest <= SIZE.backlog
+
+
+def test_a_lost_zone_leaves_every_table_under_the_backlog() -> None:
+    fleet = Fleet().joined()
+    lost = range(0, SERVERS, ZONES)
+    fleet.listed(*(entry(n, n % ZONES, GONE) for n in lost))
+    for _ in range(int(2 * SIZE.drain_grace / 100.0)):  # 40 servers at once are five seconds of the channel
+        fleet.send(wait=100.0)
+    assert holders(fleet, lost) == 0
+    assert fleet.longest <= SIZE.backlog
+    assert fleet.most_messages() <= SIZE.message_cap
+
+
+def test_a_mass_restart_makes_every_cold_line_light_at_once() -> None:
+    fleet = Fleet().joined()
+    struck = range(0, SERVERS, 3)
+    before = sum(lines.get(name(n), 0.0) for lines in fleet.tables.values() for n in struck)
+    fleet.listed(*(entry(n, n % ZONES, READY, started=fleet.now) for n in struck))
+    for _ in range(15):
+        fleet.send(wait=100.0)
+    after = sum(lines.get(name(n), 0.0) for lines in fleet.tables.values() for n in struck)
+    assert after < 0.7 * before
+    assert fleet.longest <= SIZE.backlog
+
+
+def test_changes_reach_every_table_within_some_slots_and_keep_the_pace() -> None:
+    """A table that costs more than a slot's budget was never sent; now each zone gets its turn."""
+    fleet = Fleet().joined()
+    start, ordered = len(fleet.actions), {proxy: len(times) for proxy, times in fleet.messages.items()}
+    slow = dict.fromkeys(range(0, SERVERS, 2), 900.0)
+    for _ in range(12):
+        fleet.second(slow=slow)
+    touched = {a.table for a in fleet.actions[start:] if isinstance(a, face.SetWeight)}
+    assert touched == set(fleet.tables)
+    assert all(len(fleet.messages[proxy]) > count for proxy, count in ordered.items())
+    assert fleet.longest <= SIZE.backlog * 0.85
+
+
+def test_a_slowed_channel_is_kept_for_what_is_urgent() -> None:
+    """Found on a drawn deploy day: a drained server waited ten seconds behind changes in a slowed channel."""
+    fleet = Fleet().joined()
+    fleet.rate = SIZE.channel_rate / 5
+    slow = dict.fromkeys(range(0, SERVERS, 2), 900.0)
+    for _ in range(6):
+        fleet.second(slow=slow)
+    assert fleet.longest <= SIZE.backlog
+    fleet.listed(entry(1, 1, GONE))
+    for _ in range(int(3 * SIZE.drain_grace / 100.0)):  # a slowed channel stretches the grace as much
+        fleet.send(wait=100.0)
+    assert holders(fleet, range(1, 2)) == 0
+
+
+def test_what_went_is_withdrawn_from_proxies_that_wait_for_tables() -> None:
+    """Incidents on two deployments: standing tables held a server that went, while a mass join was bound."""
+    fleet = Fleet()
+    assert len(fleet.bound) < PROXIES
+    fleet.listed(entry(5, 5 % ZONES, GONE))
+    for _ in range(int(0.6 * SIZE.drain_grace / 100.0)):
+        fleet.send(wait=100.0)
+    assert face.Withdraw(name(5), True) in fleet.actions
+    fleet.listed(entry(5, 5 % ZONES, READY, started=fleet.now))
+    assert face.Withdraw(name(5), False) in fleet.actions
+
+
+def test_a_bound_fleet_withdraws_nothing() -> None:
+    fleet = Fleet().joined()
+    fleet.listed(entry(5, 5 % ZONES, GONE))
+    for _ in range(30):
+        fleet.send(wait=100.0)
+    assert not any(isinstance(action, face.Withdraw) for action in fleet.actions)
+
+
+@pytest.mark.parametrize("window", [1000.0, 4000.0])
+def test_a_report_holds_for_its_own_window(window: float) -> None:
+    """At size the intake cap thins reports out: a server heard every fourth cycle has not lost its traffic."""
+    desk = Desk(servers=[entry(n, 0) for n in range(4)], proxies=((0, 0),))
+    tries = int(40 * window / 1000.0)
+    desk.send(*(face.ServerReport(0, name(n), tries, 0, 100.0, window, (0.5,)) for n in range(4)), wait=1000.0)
+    before = desk.planner.servers[name(0)].rate
+    other = face.ServerReport(0, name(3), 40, 0, 100.0, 1000.0, (0.5,))
+    desk.send(other, wait=1000.0)
+    faded = desk.planner.servers[name(0)].rate < before
+    assert faded == (window <= 1000.0)
+
+
+def test_errors_beside_quick_answers_are_no_sign_of_load() -> None:
+    """Lost answers on most servers made the planner shed two thirds of what could be served."""
+    desk = Desk(servers=[entry(n, n % 2) for n in range(6)])
+    desk.slots(5)
+    desk.slots(5, bad=dict.fromkeys(range(6), 6))
+    assert desk.planner.shed == 0.0
+    desk.slots(5, bad=dict.fromkeys(range(6), 6), mean=900.0)
+    assert desk.planner.shed > 0.0
