--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -37,7 +37,7 @@
 # Channel
 PACE, PACE_SPAN = 0.4, 2.0  # of the stated rate, for changes; cycles of it for one zone's in one go
 BUSY, FULL, DELTA_MESSAGES = 0.25, 0.8, 0.6  # of the backlog: add to no queue over; nor beyond; of the cap
-WITHDRAW_AFTER, AWAY_MOST = 0.3, 2  # of the drain grace, waiting for tables; remembered, of the fleet
+WITHDRAW_AFTER, AWAY_MOST = 0.4, 2  # of the drain grace, waiting for tables; remembered, of the fleet
 SLOWEST, LATE, MARKS = 0.2, 0.6, 1 << 16  # of its rate, if unheard; of a full queue's time: slowed; marks
 # Admission
 SLOW_AIMS, SLOW_CALM = 0.3, 1.7  # half of the traffic slower than so many aims and quickest times
@@ -161,8 +161,9 @@
         self.peers: dict[int, tuple[float, Rates]] = {}  # when heard, and what they send where
         self.urgent = False  # some line must be right at once
         self.away: dict[Server, bool] = {}  # servers that drain or went: whether all joined proxies were told
+        self.withdrawn: dict[Server, None] = {}
         self.written = [-math.inf] * settings.zones  # when changes last went to all proxies of a zone
-        self.shed = self.level = self.calm = 0.0
+        self.shed = self.level = self.calm = self.withdrew = 0.0
 
     def handle(self, now: float, events: Iterable[Event]) -> list[Action]:
         """Take in a batch, act at once on what the rules hang on, and run the slot when it is due."""
@@ -193,7 +194,6 @@
             case face.ProxyJoined(proxy, zone, rate, _):
                 each = [bounded(rate, 0.0, NO_LIMIT) / max(1, len(self.places)) for _ in self.places]
                 self.proxies[proxy] = ProxyView(zone, each, joined=self.now)
-                self.away = dict.fromkeys(self.away, False)
             case face.ProxyLeft(proxy):
                 self.proxies.pop(proxy, None)
             case face.Acknowledged(_, mark, elapsed):
@@ -229,8 +229,8 @@
         self.servers[entry.server].entry = entry
         if entry.availability is face.Availability.DRAINING:
             self.away.setdefault(entry.server, False)
-        elif self.away.pop(entry.server, False):
-            self.actions.append(face.Withdraw(entry.server, False))
+        else:
+            self.away.pop(entry.server, None)
 
     def ready(self) -> list[ServerView]:
         return [v for v in self.servers.values() if v.entry.availability is face.Availability.READY]
@@ -313,9 +313,8 @@
                 view.delay[zone] = blend(view.delay[zone], view.answer or usual, ZONE_FADE)
         self.learn_level(usual)
         self.expect_capacity()
-        for view in self.servers.values():
-            if self.warmth(view) >= 1.0 and view.rate > 0:
-                self.learn_capacity(view, usual)
+        for view in [v for v in self.servers.values() if self.warmth(v) >= 1.0 and v.rate > 0]:
+            self.learn_capacity(view, usual)
 
     def usual_answer(self) -> float:
         return median([v.answer for v in self.servers.values() if v.answer]) or 0.5 * self.mean_aim
@@ -402,8 +401,11 @@
             for place in order:
                 for _ in range(ROUNDS):
                     fill([key for key in keys if key[1] == place], left, pull, room, placed)
-        for key in keys:
-            self.place_excess(left[key], placed[key], present)
+        for key in keys:  # all demand is placed: the excess spreads by capacity, over warm servers if any
+            able = [s for s in placed[key] if self.sound(self.servers[s])]
+            able = able or [s for s in placed[key] if not self.ejected(self.servers[s])] or list(placed[key])
+            total = sum(present[s] for s in able)
+            placed[key].update({s: placed[key][s] + left[key] * present[s] / total for s in able})
         return placed
 
     def room(self, view: ServerView, present: float, use: float) -> float:
@@ -429,14 +431,6 @@
         unheard = sum(v.rate for v in self.servers.values()) < HEARD * (1 - self.shed) * sum(self.demand())
         return bool(warm) and (unheard or (self.settings.strikes > 0 and slow))
 
-    def place_excess(self, left: float, placed: Rates, present: Rates) -> None:
-        """All demand is placed: what found no room spreads by capacity, over warm servers if any."""
-        able = [s for s in placed if self.sound(self.servers[s])]
-        able = able or [s for s in placed if not self.ejected(self.servers[s])] or list(placed)
-        total = sum(present[s] for s in able)
-        for server in able:
-            placed[server] += left * present[server] / total
-
     def move_tables(self) -> None:
         """Move every table a capped step towards the spread; what is cold or fails jumps to its safe goal."""
         self.expect_capacity()
@@ -523,15 +517,20 @@
 
     def withdraw_away(self) -> None:
         """Proxies that wait for tables long in terms of the grace hold others: keep them off what went."""
-        waits = [self.now - p.joined for p in self.proxies.values() if not p.bound]
-        news = [server for server, told in self.away.items() if not told]
-        if not news or max(waits, default=0.0) < WITHDRAW_AFTER * self.settings.drain_grace:
-            return
+        late = self.now - WITHDRAW_AFTER * self.settings.drain_grace
+        joined = [p.joined for p in self.proxies.values() if not p.bound and p.joined < late]
+        again = max(joined, default=0.0) > self.withdrew  # who came since then was told nothing
+        news = {server: True for server, told in self.away.items() if joined and (again or not told)}
+        news.update({server: False for server in self.withdrawn if server not in self.away})  # it is back
         zones = {t.zone for t in self.tables.values() if any(server in t.sent for server in news)}
         holders = [n for n, p in self.proxies.items() if not p.bound or p.zone in zones]
-        if len(holders) * (len(news) + self.outbox.head) <= self.outbox.room(self.lines, FULL):
-            self.actions += [face.Withdraw(server, True) for server in news]
-            self.away = dict.fromkeys(list(self.away)[-AWAY_MOST * len(self.servers):], True)
+        fits = len(holders) * (len(news) + self.outbox.head) <= self.outbox.room(self.lines, FULL)
+        if news and fits and all(self.outbox.may_write(self.proxies[n], DELTA_MESSAGES) for n in holders):
+            self.actions += [face.Withdraw(server, out) for server, out in news.items()]
+            self.withdrawn = dict.fromkeys(s for s in [*self.withdrawn, *news] if s in self.away)
+            recent = list(self.away.items())[-AWAY_MOST * len(self.servers):]
+            self.away = {server: told or server in news for server, told in recent}
+            self.withdrew = self.now if joined else self.withdrew
             self.lines.update({number: self.lines.get(number, 0) + len(news) for number in holders})
 
     def table_for(self, key: Key) -> Table:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -188,3 +188,21 @@
     assert desk.planner.shed == 0.0
     desk.slots(5, bad=dict.fromkeys(range(6), 6), mean=900.0)
     assert desk.planner.shed > 0.0
+
+
+def test_servers_that_come_back_are_let_in_again_under_the_message_cap() -> None:
+    """Found by a rule hunt: each return wrote one more message to proxies that were at their cap."""
+    fleet = Fleet()
+    struck = range(0, 8 * ZONES, ZONES)
+    for n in struck:
+        fleet.listed(entry(n, n % ZONES, GONE))
+        fleet.send(wait=400.0)
+    assert any(isinstance(action, face.Withdraw) for action in fleet.actions)
+    for n in struck:
+        fleet.listed(entry(n, n % ZONES, READY, started=fleet.now))
+        fleet.send(wait=400.0)
+    fleet.joined()
+    state = {a.server: a.out for a in fleet.actions if isinstance(a, face.Withdraw)}
+    assert state and not any(state.values())
+    assert fleet.most_messages() <= SIZE.message_cap
+    assert fleet.longest <= SIZE.backlog
