--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -46,7 +46,7 @@
 LEAST_LEVEL, ALL, NO_LIMIT = 0.05, 0.99, 1e6  # least share let in; what counts as all; no rate limit
 FURTHER_TRY = Retry.ONCE_IF_UNTRIED  # safe for any class; after any failure it doubled the work under strain
 PEER_LINE, PEER_LINES = struct.Struct(">6sH"), 32  # a server, tenths of requests a second; lines a message
-SLOT_TOKEN, LIST_TOKEN, NOW, SOON, LATER = 1 << 32, 2 << 32, 0, 1, 2  # timers; how long a line may wait
+SLOT_TOKEN, LIST_TOKEN, NOW, COLD, SOON, LATER = 1 << 32, 2 << 32, 0, 1, 2, 3  # timers; how a line waits
 Key = tuple[int, int]  # zone and class: what a table is for
 Rates = dict[Server, float]
 Move = tuple[int, float, int, Server, float]  # how long it may wait; less the more; a table's place; weight
@@ -470,7 +470,8 @@
         usual *= self.outbox.allowance > 0 and not (self.outbox.slowed and self.outbox.queued > 0)
         full = self.outbox.room(self.lines, FULL) / each - self.outbox.head - len(tables) * news
         most = int(bounded(max(pressing, usual), 0, max(0, full)))
-        share = 1.0 if pressing and self.slot_at == self.now else DELTA_MESSAGES  # near the cap: the slot
+        kept = moves and moves[0][0] <= COLD and self.slot_at == self.now  # a reserve for the rules, in slots
+        share = 1.0 if kept else DELTA_MESSAGES
         fits = all(self.outbox.may_write(self.proxies[u], share) for u in users if u not in self.lines)
         fits = fits and full > 0 and self.outbox.room(self.lines, BUSY) > 0
         chosen = moves[:most] if fits else []
@@ -488,8 +489,8 @@
             new, old = scale * table.shares.get(server, 0.0), table.sent.get(server, 0.0)
             safe = old <= OVERWEIGHT * new or (server in ready and self.sound(ready[server]))
             if abs(new - old) > WORTH_SENDING * max(new, old) or (old > 0) != (new > 0):
-                wait = LATER if safe else SOON if server in ready else NOW
-                found.append((wait, -abs(new - old), place, server, new))
+                unsafe = NOW if server not in ready else COLD if self.warmth(ready[server]) < 1.0 else SOON
+                found.append((LATER if safe else unsafe, -abs(new - old), place, server, new))
         return found
 
     def write(self, table: Table, users: list[int], changes: Rates, level: face.Level) -> None:
@@ -618,9 +619,8 @@
 
 
 def differs(new: face.Level, old: face.Level | None) -> bool:
-    if old is None or new[1] != old[1] or (new[0] == 1.0) != (old[0] == 1.0):
-        return True
-    return abs(new[0] - old[0]) > WORTH_SENDING * max(new[0], old[0])
+    return (old is None or new[1] != old[1] or (new[0] == 1.0) != (old[0] == 1.0)
+            or abs(new[0] - old[0]) > WORTH_SENDING * max(new[0], old[0]))
 
 
 def rate_cap(rates: list[float], share: float) -> float:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -206,3 +206,18 @@
     assert state and not any(state.values())
     assert fleet.most_messages() <= SIZE.message_cap
     assert fleet.longest <= SIZE.backlog
+
+
+def test_the_reserve_of_the_message_cap_is_for_gone_and_cold_servers() -> None:
+    """Ejections spent it on a stalled busy day, and the messages that followed had none left."""
+    servers = [entry(n, 0) for n in range(6)]
+    desk = Desk(servers=servers, proxies=((0, 0),), message_cap=10, message_window=100000.0, cross_zone_price=0.0)
+    desk.slots(3)
+    desk.planner.proxies[0].written = [desk.now] * 7  # over the share for changes
+    start = len(desk.actions)
+    desk.slots(3, bad={5: 20})
+    assert desk.planner.ejected(desk.planner.servers[name(5)])
+    assert not any(isinstance(action, face.SetWeight) for action in desk.actions[start:])
+    desk.listed(entry(4, state=GONE))
+    desk.slot(bad={5: 20})
+    assert name(4) not in desk.table(0)
