--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -34,12 +34,10 @@
 EJECT_AT, EJECT_TRIES, DEAD, CROWDED = 0.3, 8.0, 0.8, 2.0  # failures over tries; dead; slow by load
 PANIC_SHARE = 0.4  # of the ready servers: never eject more
 TRICKLE, HOLD, HOLD_MOST = 0.05, 3.0, 16.0  # of an even share, while ejected; for cycles, doubled up to
-# Channel
 PACE, PACE_SPAN = 0.4, 2.0  # of the stated rate, for changes; cycles of it for one zone's in one go
 BUSY, FULL, DELTA_MESSAGES = 0.25, 0.8, 0.6  # of the backlog: add to no queue over; nor beyond; of the cap
 WITHDRAW_AFTER, AWAY_MOST = 0.4, 2  # of the drain grace, waiting for tables; remembered, of the fleet
 SLOWEST, LATE, MARKS = 0.2, 0.6, 1 << 16  # of its rate, if unheard; of a full queue's time: slowed; marks
-# Admission
 SLOW_AIMS, SLOW_CALM = 0.3, 1.7  # half of the traffic slower than so many aims and quickest times
 FULL_USE = 0.92  # of known capacity, or of what is answered under overload: more demand than that is shed
 SHED_GAIN, SHED_BACK, SHED_MOST = 0.5, 0.2, 0.95  # step to there; share back in a calm slot; limit
@@ -483,14 +481,16 @@
             self.written[zone] = self.now if chosen else self.written[zone]
 
     def moves(self, place: int, table: Table) -> list[Move]:
-        """Lines that moved by over a tenth: first what is unsafe as it stands, then the largest moves."""
+        """Lines that moved by over a tenth: the unsafe, the largest, last what leaves, so none runs dry."""
         scale, ready, found = table.scale(), {v.entry.server: v for v in self.ready()}, []
+        bare = not any(server in ready and self.sound(ready[server]) for server in table.sent)
         for server in dict.fromkeys([*table.shares, *table.sent]):
             new, old = scale * table.shares.get(server, 0.0), table.sent.get(server, 0.0)
-            safe = old <= OVERWEIGHT * new or (server in ready and self.sound(ready[server]))
+            sound = server in ready and self.sound(ready[server])
+            safe = not (bare and new > 0) and (sound or old <= OVERWEIGHT * new)
             if abs(new - old) > WORTH_SENDING * max(new, old) or (old > 0) != (new > 0):
                 unsafe = NOW if server not in ready else COLD if self.warmth(ready[server]) < 1.0 else SOON
-                found.append((LATER if safe else unsafe, -abs(new - old), place, server, new))
+                found.append((LATER + (new <= 0) if safe else unsafe, -abs(new - old), place, server, new))
         return found
 
     def write(self, table: Table, users: list[int], changes: Rates, level: face.Level) -> None:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -221,3 +221,15 @@
     desk.listed(entry(4, state=GONE))
     desk.slot(bad={5: 20})
     assert name(4) not in desk.table(0)
+
+
+def test_a_table_never_runs_dry_while_its_lines_are_replaced() -> None:
+    """Found by a hunt at size: what left went out first, what came found no room, and proxies had no server."""
+    fleet = Fleet().joined()
+    for table in fleet.planner.tables.values():  # the goals lie on other servers altogether
+        kept = list(table.sent)[:20]
+        for server in [server for server in table.sent if server not in kept]:
+            del table.sent[server]
+        table.shares = {server: 0.01 for server in (name(n) for n in range(SERVERS)) if server not in kept}
+    fleet.planner.send_changes()
+    assert all(table.sent for table in fleet.planner.tables.values())
