--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -481,7 +481,7 @@
             self.written[zone] = self.now if chosen else self.written[zone]
 
     def moves(self, place: int, table: Table) -> list[Move]:
-        """Lines that moved by over a tenth: the unsafe, the largest, last what leaves, so none runs dry."""
+        """Lines that moved by over a tenth: the unsafe, any of a table run dry, then the largest."""
         scale, ready, found = table.scale(), {v.entry.server: v for v in self.ready()}, []
         bare = not any(server in ready and self.sound(ready[server]) for server in table.sent)
         for server in dict.fromkeys([*table.shares, *table.sent]):
@@ -490,7 +490,7 @@
             safe = not (bare and new > 0) and (sound or old <= OVERWEIGHT * new)
             if abs(new - old) > WORTH_SENDING * max(new, old) or (old > 0) != (new > 0):
                 unsafe = NOW if server not in ready else COLD if self.warmth(ready[server]) < 1.0 else SOON
-                found.append((LATER + (new <= 0) if safe else unsafe, -abs(new - old), place, server, new))
+                found.append((LATER if safe else unsafe, -abs(new - old), place, server, new))
         return found
 
     def write(self, table: Table, users: list[int], changes: Rates, level: face.Level) -> None:
