--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -470,8 +470,8 @@
         most = int(bounded(max(pressing, usual), 0, max(0, full)))
         kept = moves and moves[0][0] <= COLD and self.slot_at == self.now  # a reserve for the rules, in slots
         share = 1.0 if kept else DELTA_MESSAGES
-        fits = all(self.outbox.may_write(self.proxies[u], share) for u in users if u not in self.lines)
-        fits = fits and full > 0 and self.outbox.room(self.lines, BUSY) > 0
+        fits = full > 0 and self.outbox.room(self.lines, BUSY) > 0 and all(
+            self.outbox.may_write(self.proxies[u], share) for u in users if u not in self.lines)
         chosen = moves[:most] if fits else []
         self.urgent |= sum(1 for move in chosen if move[0] < LATER) < pressing
         if chosen or (news and usual and fits):
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -19,11 +19,10 @@
 class Fleet(Desk):
     """A desk behind a channel that sends at a rate and acknowledges what has arrived."""
 
-    def __init__(self, rate: float = SIZE.channel_rate) -> None:
-        self.rate, self.queue, self.longest = rate, 0.0, 0.0
+    def __init__(self) -> None:
+        self.rate, self.queue, self.longest = SIZE.channel_rate, 0.0, 0.0
         self.travelling: list[tuple[int, int, float, float]] = []  # proxy, mark, lines before it is out, ordered
         self.messages: dict[int, list[float]] = {}
-        self.away: dict[tuple[int, face.Server], float] = {}  # when a proxy stopped sending to a server
         super().__init__(SIZE, [entry(n, n % ZONES) for n in range(SERVERS)],
                          [(p, p % ZONES) for p in range(PROXIES)])
 
