--- /dev/null
+++ b/stackwheel/__main__.py
@@ -0,0 +1,39 @@
+"""`python -m stackwheel`: one planner, configured by the file that ROUTER_CONFIG names."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from types import FrameType
+
+
+def stop(_signal: int, _frame: FrameType | None) -> None:
+    """There is nothing to save: proxies keep their tables, and a new start begins from nothing."""
+    os._exit(0)
+
+
+def main() -> int:
+    signal.signal(signal.SIGTERM, stop)  # before anything that takes time
+    signal.signal(signal.SIGINT, stop)
+    import asyncio
+
+    from stackwheel.service.app import serve
+    from stackwheel.service.config import ConfigError, load_config
+    from stackwheel.service.logs import start_logging
+
+    config = load_config()
+    if isinstance(config, ConfigError):
+        print(f"stackwheel: {config.reason}", file=sys.stderr)
+        return 2
+    start_logging(config.name)
+    try:
+        asyncio.run(serve(config))
+    except OSError as error:
+        print(f"stackwheel: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/stackwheel/service/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: configuration, clock, logging."""
--- /dev/null
+++ b/stackwheel/service/app.py
@@ -0,0 +1,30 @@
+"""Puts the parts together and runs until it is told to stop."""
+
+from __future__ import annotations
+
+import gc
+
+from loguru import logger
+
+from stackwheel.service.config import Config
+from stackwheel.state.clock import Clock
+from stackwheel.state.ids import Ids
+from stackwheel.state.module import Module
+from stackwheel.state.roster import Roster
+from stackwheel.wire.links import Links
+
+
+async def serve(config: Config) -> None:
+    """Answer and decide until cancelled; OSError if an address can't be had."""
+    clock = Clock()
+    roster = Roster(config.names.zones, config.names.kinds, Ids())
+    roster.apply(config.known)
+    links = Links(config.addresses, config.settings, config.names, roster, clock)
+    module = Module(config.settings, config.names.tick, config.seed, clock, roster, links)
+    module.decide([roster.cached()])  # known first; whoever connects finds a planner that is ready
+    gc.collect()
+    gc.freeze()  # what stands by now stays: no collection walks it again
+    await links.open(module.post)
+    logger.info("ready on {}, {} servers known of list {}", config.addresses.listen, len(roster.entries),
+                roster.generation)
+    await module.run()
--- /dev/null
+++ b/stackwheel/service/config.py
@@ -0,0 +1,97 @@
+"""What the planner is told at its start: one JSON file, named by the environment."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from stackwheel.interface import Settings
+from stackwheel.settings import Names, SettingsError, build_settings, flatten, read_names
+from stackwheel.state.roster import Listing
+from stackwheel.wire.discovery import read_listing
+from stackwheel.wire.http import split_address
+from stackwheel.wire.links import Addresses
+
+VARIABLE = "ROUTER_CONFIG"
+OVERRIDES = {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "discovery": "ROUTER_DISCOVERY"}
+DEFAULT_SOCKETS = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    addresses: Addresses
+    seed: int
+    settings: Settings
+    names: Names
+    known: Listing
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigError:
+    """Why there is nothing to start with, in one line."""
+
+    reason: str
+
+
+def load_config(environment: Mapping[str, str] = os.environ) -> Config | ConfigError:
+    path = environment.get(VARIABLE)
+    if not path:
+        return ConfigError(f"{VARIABLE} names no configuration")
+    try:
+        found = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        return ConfigError(f"{path}: {error.strerror or error}")
+    except (ValueError, RecursionError) as error:
+        return ConfigError(f"{path}: no JSON: {error}")
+    if not isinstance(found, dict):
+        return ConfigError(f"{path}: not a JSON object")
+    for key, variable in OVERRIDES.items():
+        if key not in found and variable in environment:
+            found[key] = environment[variable]
+    try:
+        return read_config(found)
+    except SettingsError as error:
+        return ConfigError(f"{path}: settings: {error}")
+    except KeyError as error:
+        return ConfigError(f"{path}: {error} is missing")
+    except (ValueError, TypeError, AttributeError) as error:
+        return ConfigError(f"{path}: {error}")
+
+
+def read_config(found: dict[str, object]) -> Config:
+    settings = found["settings"]
+    if not isinstance(settings, dict) or not settings:
+        raise ValueError("settings is no object")
+    pairs = dict(flatten(settings))
+    limits, peers = found.get("limits", {}), found.get("peers", [])
+    if not isinstance(limits, dict) or not isinstance(peers, list):
+        raise ValueError("limits or peers is wrong")
+    addresses = Addresses(
+        address(found, "listen"), address(found, "discovery"), address(found, "peer_listen", ""),
+        tuple(str(peer) for peer in peers), address(found, "peers_all", ""),
+        int(limits.get("sockets", DEFAULT_SOCKETS)))
+    known = found.get("known")
+    return Config(str(found.get("name", "planner")), addresses, read_seed(found.get("seed", "0")),
+                  build_settings(pairs), read_names(pairs),
+                  Listing(0, True, ()) if known is None else read_listing(known))
+
+
+def address(found: dict[str, object], key: str, default: str | None = None) -> str:
+    value = found[key] if default is None else found.get(key, default)
+    if value == default:
+        return str(value)
+    try:
+        host, port = split_address(str(value))
+    except ValueError:
+        host, port = "", 0
+    if not host or not 0 < port < 65536:
+        raise ValueError(f"{key} is no address: {str(value)[:60]!r}")
+    return str(value)
+
+
+def read_seed(value: object) -> int:
+    return value if isinstance(value, int) else int(str(value), 16)
--- a/stackwheel/drill/settings.py
+++ b/stackwheel/settings.py
@@ -1,9 +1,13 @@
-"""Parse the path=value settings of an instance's first message."""
+"""Settings for the policy and names for the wire, from path=value pairs or from the same as nested JSON.
+
+`drill` is given pairs, the service JSON; both become the same pairs and are read by the same code.
+"""
 
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 
 from stackwheel.interface import RequestClass, Retry, Settings
 
@@ -12,6 +16,23 @@
     """The settings cannot be parsed."""
 
 
+# A load column's other names, and the name that the settings and the policy know it by.
+COLUMNS = {"inflight": "outstanding", "queue": "backlog", "util": "utilization", "latency_ms": "recent_ms",
+           "qps": "throughput", "eps": "errors_per_s"}
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """What the settings name and the policy knows by its place; and what only the transport reads."""
+
+    classes: tuple[str, ...] = ()
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
+    columns: tuple[str, ...] = ()
+    tick: float = 2.0
+    load_on_probe: bool = False  # a probe's answer carries a load report
+
+
 def parse_settings(blob: bytes) -> Settings:
     return build_settings(read_pairs(blob))
 
@@ -32,6 +53,28 @@
     return pairs
 
 
+def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
+    """The pairs of nested JSON: objects by key, lists of plain values by commas, of objects by place."""
+    if isinstance(value, Mapping):
+        for key, item in value.items():
+            yield from flatten(item, f"{path}.{key}" if path else str(key))
+    elif isinstance(value, list) and any(isinstance(item, Mapping | list) for item in value):
+        yield f"{path}.count", str(len(value))
+        for place, item in enumerate(value):
+            yield from flatten(item, f"{path}.{place}")
+    elif isinstance(value, list):
+        yield path, ",".join(plain(item) for item in value)
+    elif value is not None:
+        yield path, plain(value)
+
+
+def plain(value: object) -> str:
+    """A value as the pairs have it: spaces and commas would end it."""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value).replace(" ", "_").replace(",", "_")
+
+
 class _Reader:
     """Typed look-ups with a default for what is absent."""
 
@@ -89,7 +132,7 @@
         home_zone=read.whole("zone", defaults.home_zone),
         zones=max(1, len(read.words("zones"))),
         classes=read_classes(read),
-        load_columns=read.words("load_report.columns"),
+        load_columns=read_columns(read),
         weights_listed=pairs.get("weight_kind", "off") != "off",
         list_on_request=read.word("discovery", "pushed", ("pushed", "on_request")) == "on_request",
         ask_within=read.number("obligations.ask_within", defaults.ask_within),
@@ -121,6 +164,22 @@
     )
 
 
+def read_names(pairs: Mapping[str, str]) -> Names:
+    read, defaults = _Reader(pairs), Names()
+    return Names(
+        classes=tuple(wanted.name for wanted in read_classes(read)),
+        zones=read.words("zones"),
+        kinds=read.words("kinds"),
+        columns=read_columns(read),
+        tick=read.number("tick", defaults.tick),
+        load_on_probe=pairs.get("load_report.source", "off") != "off",
+    )
+
+
+def read_columns(read: _Reader) -> tuple[str, ...]:
+    return tuple(COLUMNS.get(name, name) for name in read.words("load_report.columns"))
+
+
 def read_retry(read: _Reader, defaults: Settings) -> Retry:
     value = read.whole("family_info.usual_how", int(defaults.usual_retry))
     if value > max(Retry):
--- /dev/null
+++ b/stackwheel/state/ids.py
@@ -0,0 +1,33 @@
+"""The policy's six-byte ids for the instances that discovery names: the same at every planner, always."""
+
+from __future__ import annotations
+
+import hashlib
+
+from loguru import logger
+
+from stackwheel.interface import Server
+
+ID_BYTES = 6
+
+
+def digest(name: str) -> Server:
+    return Server(hashlib.blake2b(name.encode(), digest_size=ID_BYTES).digest())
+
+
+class Ids:
+    """Names by id. What was once listed stays known, as tables may name it after it has gone."""
+
+    def __init__(self) -> None:
+        self.names: dict[Server, str] = {}
+
+    def learn(self, name: str) -> Server | None:
+        """The id of a listed instance; None if another instance has it: that one would get its orders."""
+        server = digest(name)
+        if self.names.setdefault(server, name) != name:
+            logger.error("instances {} and {} share an id; {} is left out", self.names[server], name, name)
+            return None
+        return server
+
+    def name(self, server: Server) -> str | None:
+        return self.names.get(server)
--- /dev/null
+++ b/stackwheel/state/module.py
@@ -0,0 +1,171 @@
+"""The module's actor: one mailbox, one call of the policy for all that came in since the last."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import Protocol, TypeAlias
+
+from loguru import logger
+
+from stackwheel import interface as face
+from stackwheel.balance import Planner
+from stackwheel.interface import Action, Event, Settings
+from stackwheel.state.clock import Clock
+from stackwheel.state.orders import Message, Orders
+from stackwheel.state.roster import Listing, Roster
+from stackwheel.state.streams import Line, Stream, Streams
+
+MAILBOX_MOST = 100_000  # items; reports beyond it are dropped
+FAULTS_APART = 1000.0  # ms: a policy that fails again and again begins anew no sooner
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A stream's connection has ended."""
+
+    proxy: int
+    line: Line
+
+
+@dataclass(frozen=True, slots=True)
+class Said:
+    """What a proxy said over its stream; it counts only while that stream carries the proxy."""
+
+    event: face.Acknowledged | face.DemandReport
+    line: Line
+
+
+@dataclass(frozen=True, slots=True)
+class ListFailed:
+    """A call for the list failed, or the watch ended."""
+
+
+Report: TypeAlias = (
+    face.ServerReport | face.DemandReport | face.PeerMessage | face.ProbeResult | face.TimerFired
+)
+Item: TypeAlias = Stream | Ended | Said | Listing | ListFailed | Report
+
+
+class Outside(Protocol):
+    """Where orders go: whatever protocol is spoken there. None of these may block or raise."""
+
+    def deliver(self, messages: Sequence[tuple[Line, Message]]) -> None: ...
+
+    def watch_list(self, on: bool) -> None: ...
+
+    def fetch_list(self) -> None: ...
+
+    def probe(self, server: face.Server) -> None: ...
+
+    def tell_peers(self, payload: bytes, peer: int | None) -> None: ...
+
+
+class Module:
+    """Owns the policy, the streams and the tables; nothing else touches them."""
+
+    def __init__(self, settings: Settings, tick: float, seed: int, clock: Clock, roster: Roster,
+                 outside: Outside, make: Callable[[Settings, int], Planner] = Planner) -> None:
+        self.settings, self.tick, self.seed, self.make = settings, tick, seed, make
+        self.clock, self.roster, self.outside = clock, roster, outside
+        self.streams = Streams()
+        self.orders = Orders(len(settings.classes), self.streams, roster)
+        self.planner: Planner | None = make(settings, seed)
+        self.life, self.failed_at = 0, float("-inf")  # how often the policy began anew, and when
+        self.mailbox: list[Item] = []
+        self.filled = asyncio.Event()
+        self.timers: set[asyncio.TimerHandle] = set()
+
+    def post(self, item: Item) -> None:
+        if len(self.mailbox) >= MAILBOX_MOST and not isinstance(item, Stream | Ended | Listing | ListFailed):
+            logger.error("module mailbox is full; a report is dropped")
+            return
+        self.mailbox.append(item)
+        self.filled.set()
+
+    async def run(self) -> None:
+        while True:
+            await self.filled.wait()
+            await asyncio.sleep(self.tick / 1000.0)
+            self.turn()
+
+    def turn(self) -> None:
+        """One batch: everything in the mailbox, in order."""
+        items, self.mailbox = self.mailbox, []
+        self.filled.clear()
+        self.decide([event for item in items for event in self.events(item)])
+
+    def decide(self, events: list[Event]) -> None:
+        if self.planner is None:  # between two lives: the list and the streams are kept meanwhile
+            return
+        try:
+            self.carry_out(self.planner.handle(self.clock.now(), events))
+        except Exception as error:
+            logger.opt(exception=True).error("module fault on {} events: {!r}", len(events), error)
+            self.start_over()
+
+    def events(self, item: Item) -> Iterable[Event]:
+        match item:
+            case Stream():
+                return self.streams.join(item)
+            case Ended(proxy, line):
+                return self.streams.leave(proxy, line)
+            case Said(face.Acknowledged(proxy, mark, elapsed), line):
+                own = self.orders.own_mark(mark) if self.streams.carried_by(proxy, line) else None
+                return [] if own is None else [face.Acknowledged(proxy, own, elapsed)]
+            case Said(face.DemandReport() as report, line):
+                return [report] if self.streams.carried_by(report.proxy, line) else []
+            case Listing():
+                return [self.roster.apply(item)]
+            case ListFailed():
+                return [self.roster.failed()]
+            case face.DemandReport(proxy):
+                return [item] if proxy in self.streams.by_proxy else []
+            case face.ServerReport() | face.PeerMessage() | face.ProbeResult() | face.TimerFired():
+                return [item]
+        return []
+
+    def carry_out(self, actions: list[Action]) -> None:
+        messages = self.orders.take(actions)
+        lines = self.streams.by_proxy
+        self.outside.deliver([(lines[m.proxy].line, m) for m in messages])
+        for action in actions:
+            match action:
+                case face.SetTimer(delay, token):
+                    self.set_timer(delay, token)
+                case face.Subscribe(on):
+                    self.outside.watch_list(on)
+                case face.FetchList():
+                    self.outside.fetch_list()
+                case face.Probe(server):
+                    self.outside.probe(server)
+                case face.TellPeers(payload, peer):
+                    self.outside.tell_peers(payload, peer)
+                case face.Log(text):
+                    logger.info("module: {}", text)
+                case _:
+                    pass
+
+    def set_timer(self, delay: float, token: int) -> None:
+        def fire() -> None:
+            self.timers.discard(handle)
+            self.post(face.TimerFired(token))
+
+        handle = asyncio.get_running_loop().call_later(max(0.0, delay) / 1000.0, fire)
+        self.timers.add(handle)
+
+    def start_over(self) -> None:
+        """A fresh policy from the present list and the joined streams; the old one's timers are void."""
+        for handle in self.timers:
+            handle.cancel()
+        self.timers.clear()
+        self.life, self.planner = self.life + 1, None
+        self.orders.start_over()
+        wait = max(0.0, self.failed_at + FAULTS_APART - self.clock.now())
+        self.failed_at = self.clock.now() + wait
+        asyncio.get_running_loop().call_later(wait / 1000.0, self.begin)
+
+    def begin(self) -> None:
+        self.planner = self.make(self.settings, self.seed + self.life)
+        self.decide([self.roster.cached(), *self.streams.start_over()])
--- /dev/null
+++ b/stackwheel/state/orders.py
@@ -0,0 +1,165 @@
+"""Tables as ordered, and what one reply of the policy means for each proxy: at most one message."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from stackwheel import interface as face
+from stackwheel.interface import Action, Level, Server
+from stackwheel.state.roster import Roster
+from stackwheel.state.streams import Stream, Streams
+
+EVERY_TABLE = 0xFFFF  # in a level: all tables, standing ones included
+MARKS = 1 << 16  # the policy's marks are below it; each of its lives has so many of its own
+Lines = dict[Server, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """Lines and a level for some classes of a proxy; `whole`: the lines are all there are."""
+
+    classes: tuple[int, ...]
+    whole: bool
+    lines: tuple[tuple[Server, float], ...] = ()
+    level: Level | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """What a proxy is sent for one reply, to be applied as one."""
+
+    proxy: int
+    parts: tuple[Part, ...] = ()
+    shut: tuple[Server, ...] = ()
+    back: tuple[Server, ...] = ()
+    mark: int | None = None
+
+    def cost(self) -> int:
+        """Its lines, as the channel counts them, but for what every message costs."""
+        parts = sum(len(p.lines) + p.whole + (p.level is not None) for p in self.parts)
+        return parts + len(self.shut) + len(self.back) + (self.mark is not None)
+
+
+@dataclass(slots=True)
+class Touched:
+    """What a reply changed."""
+
+    lines: dict[int, dict[Server, None]] = field(default_factory=dict)  # by table
+    levels: dict[int, set[int]] = field(default_factory=dict)  # by table: classes
+    cleared: set[int] = field(default_factory=set)
+    assigned: dict[int, set[int]] = field(default_factory=dict)  # by proxy: classes
+    health: dict[Server, None] = field(default_factory=dict)
+    mark: face.Mark | None = None
+
+
+class Orders:
+    def __init__(self, classes: int, streams: Streams, roster: Roster) -> None:
+        self.classes, self.streams, self.roster = range(classes), streams, roster
+        self.tables: dict[int, Lines] = {}
+        self.levels: dict[int, dict[int, Level]] = {}  # by table and class
+        self.withdrawn: dict[Server, None] = {}
+        self.first_mark = 0
+
+    def start_over(self) -> None:
+        self.tables, self.levels, self.withdrawn = {}, {}, {}
+        self.first_mark += MARKS
+
+    def own_mark(self, mark: int) -> int | None:
+        """The policy's mark that an acknowledged one stands for; None if an earlier policy set it."""
+        return mark - self.first_mark if mark >= self.first_mark else None
+
+    def take(self, actions: Iterable[Action]) -> list[Message]:
+        """Bring the tables to the end state of a reply; a message to each proxy that it concerns."""
+        touched = Touched()
+        for action in actions:
+            self.apply(action, touched)
+        parts: dict[tuple[object, ...], Part] = {}  # proxies of a table share its parts
+        messages = [self.message(stream, touched, parts) for stream in self.streams.by_proxy.values()]
+        everyone = touched.mark is not None and touched.mark.everyone
+        return [m for m in messages if everyone or m.parts or m.shut or m.back]
+
+    def apply(self, action: Action, touched: Touched) -> None:
+        match action:
+            case face.SetWeight(table, server, weight):
+                lines = self.tables.setdefault(table, {})
+                lines[server] = weight
+                if weight <= 0:
+                    del lines[server]
+                touched.lines.setdefault(table, {})[server] = None
+            case face.ClearTable(table):
+                self.tables[table], self.levels[table] = {}, {}
+                touched.cleared.add(table)
+            case face.AssignTable(proxy, table, classes):
+                if (stream := self.streams.by_proxy.get(proxy)) is not None:
+                    named = classes or tuple(self.classes)
+                    stream.bound.update(dict.fromkeys(named, table))
+                    touched.assigned.setdefault(proxy, set()).update(named)
+            case face.SetAdmission(table, classes, level, retry):
+                for place in classes or self.classes:
+                    self.levels.setdefault(table, {})[place] = level, retry
+                    touched.levels.setdefault(table, set()).add(place)
+            case face.Withdraw(server, out):
+                self.withdrawn.pop(server, None)
+                if out:
+                    self.withdrawn[server] = None
+                touched.health[server] = None
+            case face.Mark():
+                touched.mark = action
+            case _:
+                pass
+
+    def level(self, place: int, table: int | None) -> Level | None:
+        """Where a table and all tables have a level, the lower holds, and the table's way of trying again."""
+        everywhere = self.levels.get(EVERY_TABLE, {}).get(place)
+        own = self.levels.get(table, {}).get(place) if table is not None else None
+        if own is None or everywhere is None:
+            return own or everywhere
+        return min(own[0], everywhere[0]), own[1]
+
+    def message(self, stream: Stream, touched: Touched, parts: dict[tuple[object, ...], Part]) -> Message:
+        mine = tuple(self.parts(stream, touched, parts))
+        shut, back = self.health(stream, touched, mine)
+        mark = self.first_mark + touched.mark.mark if touched.mark is not None else None
+        return Message(stream.proxy, mine, shut, back, mark)
+
+    def parts(self, stream: Stream, touched: Touched,
+              known: dict[tuple[object, ...], Part]) -> Iterator[Part]:
+        """Classes that share a table and a level share a part."""
+        groups: dict[tuple[int | None, bool, Level | None], list[int]] = {}
+        for place in self.classes:
+            table = stream.bound.get(place)
+            whole = place in touched.assigned.get(stream.proxy, ()) or table in touched.cleared
+            changed = any(place in touched.levels.get(t, ()) for t in (table, EVERY_TABLE) if t is not None)
+            if whole or changed or (table is not None and table in touched.lines):
+                level = self.level(place, table) if whole or changed else None
+                groups.setdefault((table, whole, level), []).append(place)
+        for (table, whole, level), classes in groups.items():
+            key = table, whole, level, *classes
+            if key not in known:
+                lines = self.tables.get(table, {}) if table is not None else {}
+                if not whole and table is not None:
+                    lines = {s: lines.get(s, 0.0) for s in touched.lines.get(table, ())}
+                known[key] = Part(tuple(classes), whole, tuple(lines.items()), level)
+            if whole or known[key].lines or level is not None:
+                yield known[key]
+
+    def health(self, stream: Stream, touched: Touched,
+               parts: tuple[Part, ...]) -> tuple[tuple[Server, ...], tuple[Server, ...]]:
+        """Servers to shut out or let back: those its tables hold, and any if it holds others' tables too."""
+        held = {s for table in stream.tables() for s in self.tables.get(table, ())}
+        foreign = len(stream.bound) < len(self.classes)
+        named = dict.fromkeys(s for part in parts for s, weight in part.lines if weight > 0)
+        news = [s for s in touched.health if foreign or s in held or stream.shut.get(s)]
+        shut: list[Server] = []
+        back: list[Server] = []
+        for server in dict.fromkeys([*news, *named]):
+            out = server in self.withdrawn
+            if out != stream.shut.get(server, self.doubtful(stream, server) and not out):
+                (shut if out else back).append(server)
+                stream.shut[server] = out
+        return tuple(shut), tuple(back)
+
+    def doubtful(self, stream: Stream, server: Server) -> bool:
+        """A proxy keeps what an earlier planner shut out, which was away then and so has returned since."""
+        return not stream.fresh and server in self.roster.returned
--- /dev/null
+++ b/stackwheel/state/roster.py
@@ -0,0 +1,77 @@
+"""The list of servers as this planner last had it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from loguru import logger
+
+from stackwheel import interface as face
+from stackwheel.interface import Availability, ListScope, Server, ServerEntry
+from stackwheel.state.ids import Ids
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """One server as discovery lists it."""
+
+    name: str
+    address: str
+    zone: str
+    kind: str
+    cell: int
+    availability: Availability
+    weight: float
+    started: float  # Unix ms; 0: long ago
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """An answer of discovery: the whole list, or what has changed."""
+
+    generation: int
+    whole: bool
+    instances: tuple[Instance, ...]
+
+
+class Roster:
+    def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...], ids: Ids) -> None:
+        self.zones, self.kinds, self.ids = zones, kinds, ids
+        self.generation = 0
+        self.entries: dict[Server, ServerEntry] = {}
+        self.addresses: dict[Server, str] = {}  # where this planner reaches them
+        self.returned: set[Server] = set()  # restarted, or seen away: some planner may have shut them out
+
+    def apply(self, listing: Listing) -> face.ServerList:
+        """Take a listing in; the event that tells the policy of it."""
+        entries = [entry for instance in listing.instances if (entry := self.entry(instance)) is not None]
+        present = {e.server: e for e in entries if e.availability is not Availability.GONE}
+        gone = {e.server for e in entries if e.availability is Availability.GONE}
+        if listing.whole:
+            gone |= self.entries.keys() - present.keys()
+        self.entries = {s: e for s, e in {**({} if listing.whole else self.entries), **present}.items()
+                        if s not in gone}
+        self.returned |= gone | {s for s, e in present.items()
+                                 if e.started > 0 or e.availability is Availability.DRAINING}
+        self.generation = listing.generation
+        scope = ListScope.WHOLE if listing.whole else ListScope.CHANGES
+        return face.ServerList(scope, listing.generation, tuple(entries))
+
+    def entry(self, instance: Instance) -> ServerEntry | None:
+        if instance.zone not in self.zones:
+            logger.warning("discovery lists {} in unknown zone {}; left out", instance.name, instance.zone)
+            return None
+        server = self.ids.learn(instance.name)
+        if server is None:
+            return None
+        self.addresses[server] = instance.address
+        kind = self.kinds.index(instance.kind) if instance.kind in self.kinds else len(self.kinds)
+        return ServerEntry(server, self.zones.index(instance.zone), kind, instance.cell,
+                           instance.availability, instance.weight, instance.started)
+
+    def cached(self) -> face.ServerList:
+        """The present list, for a policy that starts from it."""
+        return face.ServerList(ListScope.CACHED, self.generation, tuple(self.entries.values()))
+
+    def failed(self) -> face.ServerList:
+        return face.ServerList(ListScope.FAILED, self.generation)
--- /dev/null
+++ b/stackwheel/wire/__init__.py
@@ -0,0 +1,1 @@
+"""What is spoken: typed messages, their codec, HTTP, datagrams and the connections' actors."""
--- /dev/null
+++ b/stackwheel/wire/datagrams.py
@@ -0,0 +1,41 @@
+"""Messages between planners: datagrams whose sender is told by its address."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from loguru import logger
+
+from stackwheel import interface as face
+from stackwheel.wire.http import split_address
+
+MOST_BYTES = 256  # of a datagram
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, peers: list[str], everyone: str, own: int,
+                 post: Callable[[face.PeerMessage], None]) -> None:
+        self.peers = [split_address(peer) for peer in peers]
+        self.everyone, self.own, self.post = split_address(everyone), own, post
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:  # type: ignore[override]
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        if len(data) > MOST_BYTES or address[:2] not in self.peers:
+            logger.warning("datagram of {} bytes from {}:{} dropped", len(data), *address[:2])
+            return
+        sender = self.peers.index(address[:2])
+        if sender != self.own:
+            self.post(face.PeerMessage(sender, data))
+
+    def error_received(self, error: Exception) -> None:
+        logger.debug("datagram not delivered: {}", error)  # a peer that is down: nothing to do
+
+    def send(self, payload: bytes, peer: int | None) -> None:
+        if len(payload) > MOST_BYTES or (peer is not None and not 0 <= peer < len(self.peers)):
+            logger.error("datagram of {} bytes to peer {} not sent", len(payload), peer)
+        elif self.transport is not None:
+            self.transport.sendto(payload, self.everyone if peer is None else self.peers[peer])
--- /dev/null
+++ b/stackwheel/wire/lines.py
@@ -0,0 +1,172 @@
+"""The line codec: lines in become typed values, messages out become lines; each once."""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Callable, Iterator, Sequence
+
+from stackwheel.interface import Server
+from stackwheel.settings import COLUMNS, Names
+from stackwheel.state.ids import Ids
+from stackwheel.state.orders import Message as Order
+from stackwheel.state.orders import Part
+from stackwheel.wire.values import Ack, Join, Load, Message, Ping, Rate, Source, Unreadable
+
+END = b"\r\n"
+PONG = b"PONG" + END
+FIRST_BYTES = 4096  # of a connection that has not said what it is
+MOST_BYTES = 1 << 20  # of a message
+FIGURE = re.compile(r"[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]{1,3})?|\.[0-9]+")
+WHOLE = re.compile(r"[0-9]{1,18}")
+DIGITS = 6  # of a weight or level
+
+
+class FieldError(ValueError):
+    """A field that is missing or says nothing."""
+
+
+class Splitter:
+    """Cuts what arrives, in whatever pieces, into lines; never holds more than the limit."""
+
+    def __init__(self) -> None:
+        self.held, self.limit, self.overrun = bytearray(), FIRST_BYTES, False
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        self.held += data
+        searched = max(0, len(self.held) - len(data) - 1)
+        while (end := self.held.find(END, searched)) >= 0:
+            if end > self.limit:
+                break
+            line = bytes(self.held[:end])
+            del self.held[:end + len(END)]
+            searched = 0
+            yield line
+        self.overrun = len(self.held) > self.limit
+
+
+class Fields:
+    """The words of a line by name, each read as what it should be."""
+
+    def __init__(self, words: Sequence[str], names: Names) -> None:
+        self.names = names
+        self.values: dict[str, str] = {}
+        for word in words:
+            name, equals, value = word.partition("=")
+            if not equals or not name or name in self.values:
+                raise FieldError(f"word {word[:40]!r}")
+            self.values[name] = value
+
+    def text(self, name: str) -> str:
+        if not self.values.get(name):
+            raise FieldError(f"no {name}")
+        return self.values[name]
+
+    def figure(self, name: str) -> float:
+        return read_figure(name, self.text(name))
+
+    def whole(self, name: str) -> int:
+        text = self.text(name)
+        if not WHOLE.fullmatch(text):
+            raise FieldError(f"{name}={text[:40]!r}")
+        return int(text)
+
+    def flag(self, name: str) -> bool:
+        text = self.text(name)
+        if text not in ("0", "1"):
+            raise FieldError(f"{name}={text[:40]!r}")
+        return text == "1"
+
+    def place(self, name: str, among: tuple[str, ...]) -> int:
+        text = self.text(name)
+        if text not in among:
+            raise FieldError(f"unknown {name}={text[:40]!r}")
+        return among.index(text)
+
+    def zone(self) -> int:
+        return self.place("site", self.names.zones)
+
+
+def read_load(text: str, between: str) -> tuple[tuple[str, float], ...]:
+    """A load report by column, in the settings' names."""
+    pairs = [pair.partition(between) for pair in text.split(",") if pair]
+    return tuple((COLUMNS.get(column, column), read_figure(column, value)) for column, _, value in pairs)
+
+
+def read_figure(name: str, text: str) -> float:
+    if not FIGURE.fullmatch(text) or not math.isfinite(float(text)):
+        raise FieldError(f"{name}={text[:40]!r}")
+    return float(text)
+
+
+READERS: dict[str, Callable[[Fields], Message]] = {
+    "PING": lambda f: Ping(),
+    "SOURCE": lambda f: Source(f.zone()),
+    "LOAD": lambda f: Load(f.zone(), f.text("target"), f.whole("count"), f.whole("fail"), f.figure("mean"),
+                           f.figure("over"), read_load(f.values.get("util", ""), ":")),
+    "RATE": lambda f: Rate(f.whole("id"), f.place("lane", f.names.classes), f.whole("count"),
+                           f.whole("fail"), f.figure("over")),
+    "SUBSCRIBE": lambda f: Join(f.whole("id"), f.zone(), f.figure("rps"), f.flag("new")),
+    "ACK": lambda f: Ack(f.whole("id"), f.whole("seq"), f.figure("ms")),
+}
+
+
+def decode(line: bytes, names: Names) -> Message | Unreadable:
+    try:
+        kind, *words = line.decode("utf-8").split(" ")
+    except UnicodeDecodeError as error:
+        return Unreadable(f"not UTF-8 at byte {error.start}")
+    if kind not in READERS:
+        return Unreadable(f"unknown kind {kind[:40]!r}")
+    try:
+        return READERS[kind](Fields([word for word in words if word], names))
+    except FieldError as error:
+        return Unreadable(f"{kind}: {error}")
+
+
+def number(value: float) -> str:
+    """A figure without an exponent; what is above 0 never prints as 0."""
+    if value <= 0:
+        return "0"
+    places = max(0, DIGITS - 1 - math.floor(math.log10(value)))
+    text = f"{value:.{places}f}"
+    return text.rstrip("0").rstrip(".") if "." in text else text
+
+
+class Encoder:
+    """Messages as lines. Proxies share parts, so each part of a reply is written out once."""
+
+    def __init__(self, names: Names, ids: Ids) -> None:
+        self.names, self.ids = names, ids
+
+    def encode(self, orders: Sequence[Order]) -> Iterator[bytes]:
+        written: dict[int, str] = {}
+        for order in orders:
+            for part in order.parts:
+                if id(part) not in written:
+                    written[id(part)] = self.part(part)
+            bodies = [written[id(part)] for part in order.parts]
+            yield self.message(order, bodies)
+
+    def message(self, order: Order, bodies: list[str]) -> bytes:
+        if order.shut or order.back or not bodies:
+            health = self.servers("eject", order.shut) + self.servers("restore", order.back)
+            bodies = [*bodies, "CONFIG" + health]
+        last = "" if order.mark is None else f" nonce_out={order.mark}"
+        return (" continued=1\r\n".join(bodies) + last + "\r\n").encode()
+
+    def part(self, part: Part) -> str:
+        words = ["CONFIG", "routes=" + "+".join(self.names.classes[place] for place in part.classes)]
+        if part.whole:
+            words.append("full=1")
+        lines = [(self.ids.name(server), weight) for server, weight in part.lines]
+        pairs = ",".join(f"{name}:{number(weight)}" for name, weight in lines if name is not None)
+        if pairs:
+            words.append("endpoints=" + pairs)
+        if part.level is not None:
+            words.append(f"admit={number(part.level[0])} policy={int(part.level[1])}")
+        return " ".join(words)
+
+    def servers(self, field: str, servers: tuple[Server, ...]) -> str:
+        names = [name for server in servers if (name := self.ids.name(server)) is not None]
+        return f" {field}=" + ",".join(names) if names else ""
--- /dev/null
+++ b/stackwheel/wire/links.py
@@ -0,0 +1,121 @@
+"""All that the service speaks with: the listener, discovery, probes and the other planners."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from loguru import logger
+
+from stackwheel.interface import Server, Settings
+from stackwheel.settings import Names
+from stackwheel.state.clock import Clock
+from stackwheel.state.module import Item
+from stackwheel.state.orders import Message
+from stackwheel.state.roster import Roster
+from stackwheel.state.streams import Line
+from stackwheel.wire import timing
+from stackwheel.wire.datagrams import Datagrams
+from stackwheel.wire.discovery import Discovery
+from stackwheel.wire.http import split_address
+from stackwheel.wire.lines import Encoder
+from stackwheel.wire.peer import Peer
+from stackwheel.wire.probes import probe, unknown
+
+
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    listen: str
+    discovery: str
+    peer_listen: str
+    peers: tuple[str, ...]
+    peers_all: str
+    sockets: int
+
+
+class Links:
+    """The module's outside, on this protocol."""
+
+    def __init__(self, addresses: Addresses, settings: Settings, names: Names, roster: Roster,
+                 clock: Clock) -> None:
+        self.addresses, self.settings, self.names = addresses, settings, names
+        self.roster, self.clock = roster, clock
+        self.encoder = Encoder(names, roster.ids)
+        self.discovery = Discovery(addresses.discovery, roster.generation, not settings.list_on_request,
+                                   lambda item: self.post(item))
+        self.datagrams = Datagrams(list(addresses.peers), addresses.peers_all or ":0", settings.planner,
+                                   lambda item: self.post(item))
+        self.strangers: dict[Peer, None] = {}  # the longest silent first
+        self.strangers_most = timing.strangers_most(addresses.sockets, settings.proxies, settings.zones)
+        self.post: Callable[[Item], None] = lambda item: None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def open(self, post: Callable[[Item], None]) -> None:
+        """Speak with the others; proxies come last, when all else stands."""
+        self.post = post
+        loop = asyncio.get_running_loop()
+        if self.settings.peers_allowed and self.addresses.peer_listen:
+            await loop.create_datagram_endpoint(lambda: self.datagrams,
+                                                local_addr=split_address(self.addresses.peer_listen))
+        self.keep(self.discovery.run())
+        host, port = split_address(self.addresses.listen)
+        await asyncio.start_server(self.accept, host, port, backlog=timing.LISTEN_BACKLOG,
+                                   limit=timing.READ_BYTES)
+        self.keep(self.sweep())
+
+    def keep(self, work: object) -> None:
+        task: asyncio.Task[None] = asyncio.ensure_future(work)  # type: ignore[call-overload]
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        peer = Peer(reader, writer, self.names, self.settings.proxies, self.post, self.known)
+        self.known(peer, False)
+        try:
+            await peer.run()
+        finally:
+            self.strangers.pop(peer, None)
+
+    def known(self, peer: Peer, known: bool) -> None:
+        """Keep who has not said what it is apart, and no more of them than leave room for proxies."""
+        self.strangers.pop(peer, None)
+        if not known:
+            self.strangers[peer] = None
+            if len(self.strangers) > self.strangers_most:
+                self.drop(next(iter(self.strangers)), "too many connections that say nothing")
+
+    def drop(self, peer: Peer, why: str) -> None:
+        logger.warning("{}: closed: {}", peer, why)
+        self.strangers.pop(peer, None)
+        peer.writer.transport.abort()
+
+    async def sweep(self) -> None:
+        while True:
+            await asyncio.sleep(timing.SWEEP / 1000.0)
+            until = asyncio.get_running_loop().time() - timing.STRANGER / 1000.0
+            for peer in [peer for peer in self.strangers if peer.heard_at < until]:
+                self.drop(peer, f"says nothing for {timing.STRANGER / 1000.0:g} s")
+
+    def deliver(self, messages: Sequence[tuple[Line, Message]]) -> None:
+        encoded = self.encoder.encode([message for _, message in messages])
+        for (line, _), data in zip(messages, encoded, strict=True):
+            if isinstance(line, Peer):
+                line.send(data)
+
+    def watch_list(self, on: bool) -> None:
+        self.discovery.mailbox.put_nowait("watch" if on else "stop")
+
+    def fetch_list(self) -> None:
+        self.discovery.mailbox.put_nowait("fetch")
+
+    def probe(self, server: Server) -> None:
+        async def ask() -> None:
+            address = self.roster.addresses.get(server)
+            asked = probe(server, address, self.names, self.clock) if address else unknown(server)
+            self.post(await asked)
+
+        self.keep(ask())
+
+    def tell_peers(self, payload: bytes, peer: int | None) -> None:
+        self.datagrams.send(payload, peer)
--- /dev/null
+++ b/stackwheel/wire/peer.py
@@ -0,0 +1,132 @@
+"""A connection's actor: reads lines, writes what its mailbox holds, and stops at its own faults."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from loguru import logger
+
+from stackwheel import interface as face
+from stackwheel.settings import Names
+from stackwheel.state.ids import digest
+from stackwheel.state.module import Ended, Item, Said
+from stackwheel.state.streams import Stream
+from stackwheel.wire import timing
+from stackwheel.wire.lines import MOST_BYTES, PONG, Splitter, decode
+from stackwheel.wire.values import (
+    Ack,
+    Join,
+    Load,
+    Message,
+    Ping,
+    Rate,
+    Source,
+    Unreadable,
+    columns_in_order,
+)
+
+
+class Peer:
+    """A proxy's stream, a collector, or somebody who has not said yet."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, names: Names, proxies: int,
+                 post: Callable[[Item], None], known: Callable[[Peer, bool], None]) -> None:
+        self.reader, self.writer, self.names, self.proxies = reader, writer, names, proxies
+        self.post = post
+        self.known = known  # told when the peer says what it is, and when it is nobody again
+        self.proxy: int | None = None
+        self.collector = False
+        self.heard_at = asyncio.get_running_loop().time()
+        self.splitter = Splitter()
+        self.unsent = 0  # bytes in the mailbox
+        self.mailbox: asyncio.Queue[bytes] = asyncio.Queue()
+        host, port = (writer.get_extra_info("peername") or ("?", 0))[:2]
+        self.address = f"{host}:{port}"
+
+    def __str__(self) -> str:
+        who = "collector" if self.collector else "stranger" if self.proxy is None else f"proxy {self.proxy}"
+        return f"{who} at {self.address}"
+
+    async def run(self) -> None:
+        writing = asyncio.create_task(self.write())
+        try:
+            await self.read()
+        except OSError as error:
+            logger.info("{}: {}", self, error)
+        except Exception as error:
+            logger.exception("{}: fault {!r}", self, error)
+        finally:
+            writing.cancel()
+            self.writer.transport.abort()
+            if self.proxy is not None:
+                self.post(Ended(self.proxy, self))
+
+    async def read(self) -> None:
+        while data := await self.reader.read(timing.READ_BYTES):
+            self.heard_at = asyncio.get_running_loop().time()
+            for line in self.splitter.feed(data):
+                message = decode(line, self.names)
+                refused = message if isinstance(message, Unreadable) else self.take(message)
+                if refused is not None:
+                    logger.warning("{}: closed: {}", self, refused.reason)
+                    return
+            if self.splitter.overrun:
+                logger.warning("{}: closed: a line over {} bytes", self, self.splitter.limit)
+                return
+        if self.splitter.held:
+            logger.warning("{}: ended inside a line, after {} bytes", self, len(self.splitter.held))
+
+    def take(self, message: Message) -> Unreadable | None:
+        """Pass a message on; the reason if it has no place here."""
+        match message:
+            case Ping():
+                self.send(PONG)
+            case Source() if self.proxy is None:
+                self.collector = True
+                self.introduced()
+            case Load(zone, target, count, failed, mean, over, load) if self.collector:
+                values = columns_in_order(load, self.names.columns)
+                self.post(face.ServerReport(zone, digest(target), count, failed, mean, over, values))
+            case Rate(proxy, place, count, failed, over) if self.collector:
+                self.post(face.DemandReport(proxy, place, count, failed, over))
+            case Rate(proxy, place, count, failed, over) if self.proxy == proxy:
+                self.post(Said(face.DemandReport(proxy, place, count, failed, over), self))
+            case Ack(proxy, mark, elapsed) if self.proxy == proxy:
+                self.post(Said(face.Acknowledged(proxy, mark, elapsed), self))
+            case Join(proxy, zone, rate, fresh) if not self.collector and self.proxy in (None, proxy):
+                if proxy >= self.proxies:
+                    return Unreadable(f"proxy {proxy} of {self.proxies}")
+                self.proxy = proxy
+                self.introduced()
+                self.post(Stream(proxy, zone, rate, fresh, self))
+            case _:
+                return Unreadable(f"{type(message).__name__} is out of place here")
+        return None
+
+    def introduced(self) -> None:
+        self.splitter.limit = MOST_BYTES
+        self.known(self, True)
+
+    def superseded(self) -> None:
+        """Its proxy speaks over another connection now: this one is nobody's, and ends when it likes."""
+        self.known(self, False)
+
+    def send(self, data: bytes) -> None:
+        """Never waits; who leaves too much unread is cut off, so that what waits is bounded."""
+        self.unsent += len(data)
+        if self.unsent > timing.UNSENT_MOST:
+            logger.warning("{}: closed: leaves {} bytes unread", self, self.unsent)
+            self.writer.transport.abort()
+            return
+        self.mailbox.put_nowait(data)
+
+    async def write(self) -> None:
+        try:
+            while True:
+                data = await self.mailbox.get()
+                self.writer.write(data)
+                await self.writer.drain()
+                self.unsent -= len(data)
+        except OSError:
+            return  # the reader sees the end too, and tells
--- /dev/null
+++ b/stackwheel/wire/probes.py
@@ -0,0 +1,43 @@
+"""Probes of a server: whether it answers, and its load report where it has one."""
+
+from __future__ import annotations
+
+import asyncio
+
+from stackwheel import interface as face
+from stackwheel.interface import Server
+from stackwheel.settings import Names
+from stackwheel.state.clock import Clock
+from stackwheel.wire import timing
+from stackwheel.wire.http import CallFailed, Stage, get
+from stackwheel.wire.lines import FieldError, read_load
+from stackwheel.wire.values import columns_in_order
+
+OK, ERROR, TURNED_AWAY, NO_ANSWER, UNREACHABLE, RESET = 1, 0, 2, 3, 4, 5  # as the simulator counts outcomes
+
+
+async def probe(server: Server, address: str, names: Names, clock: Clock) -> face.ProbeResult:
+    began = clock.now()
+    body = await get(address, "/stats" if names.load_on_probe else "/health/live", timing.PROBE, timing.PROBE)
+    elapsed = clock.now() - began
+    if isinstance(body, CallFailed):
+        return face.ProbeResult(server, outcome(body), elapsed)
+    try:
+        load = read_load(body.decode().strip(), "=") if names.load_on_probe else ()
+    except (UnicodeDecodeError, FieldError):
+        return face.ProbeResult(server, ERROR, elapsed)
+    return face.ProbeResult(server, OK, elapsed, columns_in_order(load, names.columns))
+
+
+def outcome(failed: CallFailed) -> int:
+    if failed.stage is Stage.STATUS:
+        return TURNED_AWAY if failed.status == 503 else ERROR
+    if failed.timed_out:
+        return UNREACHABLE if failed.stage is Stage.DIAL else NO_ANSWER
+    return UNREACHABLE if failed.stage is Stage.DIAL else RESET
+
+
+async def unknown(server: Server) -> face.ProbeResult:
+    """A server that no list has given an address for."""
+    await asyncio.sleep(0)
+    return face.ProbeResult(server, UNREACHABLE, 0.0)
--- /dev/null
+++ b/stackwheel/wire/timing.py
@@ -0,0 +1,22 @@
+"""Transport times and bounds, in ms, bytes or connections, each with its source. No decisions."""
+
+from __future__ import annotations
+
+BEAT = 2000.0  # the protocol: a watch writes an empty line so often while nothing changes
+SILENCE = 1.5 * BEAT  # a quiet watch has gone; what it has to tell counts as told after 6 s
+ANSWER = BEAT  # for a call's answer: discovery turns away what has waited too long before that
+DIAL = 0.5 * BEAT  # a machine that is cut off gives no sign
+GRACE = 50.0  # for bytes that lie ready when a time is up: this process may itself have stood still
+PROBE = 0.25 * BEAT  # over the time within which a server answers a probe or turns it away
+STRANGER = 30_000.0  # a connection that has not said what it is, since it last spoke
+SWEEP = 1000.0  # how often strangers are looked through
+UNSENT_MOST = 256 * 1024  # bytes a peer may leave unread; the protocol's own limit towards us is half of it
+READ_BYTES = 64 * 1024
+BODY_MOST = 16 << 20  # bytes of an answer or of one line of a watch
+LISTEN_BACKLOG = 1024  # connections that wait to be accepted: every proxy may come at once
+KEPT_SOCKETS = 64  # descriptors kept back besides those of proxies and collectors: list, probes, log, loop
+
+
+def strangers_most(sockets: int, proxies: int, zones: int) -> int:
+    """Connections that may say nothing: never so many that a proxy finds no descriptor."""
+    return max(16, (sockets - 2 * (proxies + zones) - KEPT_SOCKETS) // 2)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,8 +3,8 @@
 import frames
 import pytest
 
-from stackwheel.drill.settings import SettingsError, parse_settings
 from stackwheel.interface import RequestClass, Retry, Settings
+from stackwheel.settings import SettingsError, parse_settings
 
 
 def parse(text: str) -> Settings:
