--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -16,6 +16,8 @@
 
 async def serve(config: Config) -> None:
     """Answer and decide until cancelled; OSError if an address can't be had."""
+    if config.absent:
+        logger.warning("settings not given, so at their defaults: {}", ", ".join(config.absent))
     clock = Clock()
     roster = Roster(config.names.zones, config.names.kinds, Ids())
     roster.apply(config.known)
--- a/stackwheel/service/config.py
+++ b/stackwheel/service/config.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from stackwheel.interface import Settings
-from stackwheel.settings import Names, SettingsError, build_settings, flatten, read_names
+from stackwheel.settings import Names, SettingsError, absent_paths, build_settings, flatten, read_names
 from stackwheel.state.roster import Listing
 from stackwheel.wire.discovery import read_listing
 from stackwheel.wire.http import split_address
@@ -28,6 +28,7 @@
     settings: Settings
     names: Names
     known: Listing
+    absent: tuple[str, ...] = ()  # settings that have their default
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +78,8 @@
     known = found.get("known")
     return Config(str(found.get("name", "planner")), addresses, read_seed(found.get("seed", "0")),
                   build_settings(pairs), read_names(pairs),
-                  Listing(0, True, ()) if known is None else read_listing(known))
+                  Listing(0, True, ()) if known is None else read_listing(known),
+                  tuple(absent_paths(pairs)))
 
 
 def address(found: dict[str, object], key: str, default: str | None = None) -> str:
--- a/stackwheel/settings.py
+++ b/stackwheel/settings.py
@@ -80,9 +80,15 @@
 
     def __init__(self, pairs: Mapping[str, str]) -> None:
         self.pairs = pairs
+        self.absent: list[str] = []  # looked up, but not there
+
+    def find(self, path: str) -> str | None:
+        if path not in self.pairs:
+            self.absent.append(path)
+        return self.pairs.get(path)
 
     def number(self, path: str, default: float) -> float:
-        text = self.pairs.get(path)
+        text = self.find(path)
         if text is None:
             return default
         try:
@@ -100,7 +106,7 @@
         return int(value)
 
     def flag(self, path: str, default: bool) -> bool:
-        text = self.pairs.get(path)
+        text = self.find(path)
         if text is None:
             return default
         if text.lower() not in ("true", "false"):
@@ -108,23 +114,35 @@
         return text.lower() == "true"
 
     def word(self, path: str, default: str, allowed: tuple[str, ...]) -> str:
-        text = self.pairs.get(path, default)
+        found = self.find(path)
+        text = default if found is None else found
         if text not in allowed:
             raise SettingsError(f"{path} is none of {', '.join(allowed)}: {text[:40]!r}")
         return text
 
     def words(self, path: str) -> tuple[str, ...]:
-        return tuple(part for part in self.pairs.get(path, "").split(",") if part)
+        return tuple(part for part in (self.find(path) or "").split(",") if part)
 
     def places(self, path: str) -> tuple[int, ...]:
         try:
-            return tuple(int(part) for part in self.words(path))
+            return tuple(int(part) for part in self.words(path)) if path in self.pairs else ()
         except ValueError:
             raise SettingsError(f"{path} is no list of whole numbers") from None
 
 
 def build_settings(pairs: Mapping[str, str]) -> Settings:
+    return collect_settings(_Reader(pairs))
+
+
+def absent_paths(pairs: Mapping[str, str]) -> list[str]:
+    """Settings that have their default because the pairs lack them: a misspelt path is found by this."""
     read = _Reader(pairs)
+    collect_settings(read)
+    collect_names(read)
+    return sorted(set(read.absent))
+
+
+def collect_settings(read: _Reader) -> Settings:
     defaults = Settings()
     return Settings(
         planner=read.whole("me", defaults.planner),
@@ -133,7 +151,7 @@
         zones=max(1, len(read.words("zones"))),
         classes=read_classes(read),
         load_columns=read_columns(read),
-        weights_listed=pairs.get("weight_kind", "off") != "off",
+        weights_listed=(read.find("weight_kind") or "off") != "off",
         list_on_request=read.word("discovery", "pushed", ("pushed", "on_request")) == "on_request",
         ask_within=read.number("obligations.ask_within", defaults.ask_within),
         peers_allowed=read.flag("bounds.peers", defaults.peers_allowed),
@@ -165,14 +183,18 @@
 
 
 def read_names(pairs: Mapping[str, str]) -> Names:
-    read, defaults = _Reader(pairs), Names()
+    return collect_names(_Reader(pairs))
+
+
+def collect_names(read: _Reader) -> Names:
+    defaults = Names()
     return Names(
         classes=tuple(wanted.name for wanted in read_classes(read)),
         zones=read.words("zones"),
         kinds=read.words("kinds"),
         columns=read_columns(read),
         tick=read.number("tick", defaults.tick),
-        load_on_probe=pairs.get("load_report.source", "off") != "off",
+        load_on_probe=(read.find("load_report.source") or "off") != "off",
     )
 
 
@@ -200,7 +222,7 @@
     defaults = RequestClass()
     aim = read.number(path + "target", defaults.aim) or defaults.aim
     return RequestClass(
-        name=read.pairs.get(path + "name", ""),
+        name=read.find(path + "name") or "",
         aim=aim,
         deadline=max(aim, read.number(path + "deadline", defaults.deadline)),
         worth=read.number(path + "worth", defaults.worth),
