--- a/stackwheel/service/config.py
+++ b/stackwheel/service/config.py
@@ -73,7 +73,7 @@
         raise ValueError("limits or peers is wrong")
     addresses = Addresses(
         address(found, "listen"), address(found, "discovery"), address(found, "peer_listen", ""),
-        tuple(str(peer) for peer in peers), address(found, "peers_all", ""),
+        tuple(checked("peers", peer) for peer in peers), address(found, "peers_all", ""),
         int(limits.get("sockets", DEFAULT_SOCKETS)))
     known = found.get("known")
     return Config(str(found.get("name", "planner")), addresses, read_seed(found.get("seed", "0")),
@@ -84,8 +84,10 @@
 
 def address(found: dict[str, object], key: str, default: str | None = None) -> str:
     value = found[key] if default is None else found.get(key, default)
-    if value == default:
-        return str(value)
+    return str(value) if value == default else checked(key, value)
+
+
+def checked(key: str, value: object) -> str:
     try:
         host, port = split_address(str(value))
     except ValueError:
@@ -96,4 +98,7 @@
 
 
 def read_seed(value: object) -> int:
-    return value if isinstance(value, int) else int(str(value), 16)
+    try:
+        return value if isinstance(value, int) else int(str(value), 16)
+    except ValueError:
+        raise ValueError(f"seed is no hexadecimal number: {str(value)[:40]!r}") from None
--- a/stackwheel/state/module.py
+++ b/stackwheel/state/module.py
@@ -97,7 +97,8 @@
         self.decide([event for item in items for event in self.events(item)])
 
     def decide(self, events: list[Event]) -> None:
-        if self.planner is None:  # between two lives: the list and the streams are kept meanwhile
+        """Ask the policy, and do as it says; without one, between two lives, nothing is decided."""
+        if self.planner is None:
             return
         try:
             self.carry_out(self.planner.handle(self.clock.now(), events))
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 
 from loguru import logger
@@ -47,6 +47,7 @@
         self.datagrams = Datagrams(list(addresses.peers), addresses.peers_all or ":0", settings.planner,
                                    lambda item: self.post(item))
         self.strangers: dict[Peer, None] = {}  # the longest silent first
+        self.collectors: dict[int, Peer] = {}  # the newest of each zone; older ones are still heard
         self.strangers_most = timing.strangers_most(addresses.sockets, settings.proxies, settings.zones)
         self.post: Callable[[Item], None] = lambda item: None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -64,10 +65,15 @@
                                    limit=timing.READ_BYTES)
         self.keep(self.sweep())
 
-    def keep(self, work: object) -> None:
-        task: asyncio.Task[None] = asyncio.ensure_future(work)  # type: ignore[call-overload]
+    def keep(self, work: Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self.ended)
+
+    def ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            logger.opt(exception=error).error("fault {!r}", error)
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         peer = Peer(reader, writer, self.names, self.settings.proxies, self.post, self.known)
@@ -76,10 +82,16 @@
             await peer.run()
         finally:
             self.strangers.pop(peer, None)
+            if peer.zone is not None and self.collectors.get(peer.zone) is peer:
+                del self.collectors[peer.zone]
 
     def known(self, peer: Peer, known: bool) -> None:
         """Keep who has not said what it is apart, and no more of them than leave room for proxies."""
         self.strangers.pop(peer, None)
+        if known and peer.zone is not None:
+            old, self.collectors[peer.zone] = self.collectors.get(peer.zone), peer
+            if old not in (None, peer):
+                old.superseded()
         if not known:
             self.strangers[peer] = None
             if len(self.strangers) > self.strangers_most:
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -13,7 +13,7 @@
 from stackwheel.state.module import Ended, Item, Said
 from stackwheel.state.streams import Stream
 from stackwheel.wire import timing
-from stackwheel.wire.lines import MOST_BYTES, PONG, Splitter, decode
+from stackwheel.wire.lines import FIRST_BYTES, MOST_BYTES, PONG, Splitter, decode
 from stackwheel.wire.values import (
     Ack,
     Join,
@@ -37,6 +37,7 @@
         self.known = known  # told when the peer says what it is, and when it is nobody again
         self.proxy: int | None = None
         self.collector = False
+        self.zone: int | None = None  # of a collector
         self.heard_at = asyncio.get_running_loop().time()
         self.splitter = Splitter()
         self.unsent = 0  # bytes in the mailbox
@@ -83,7 +84,7 @@
             case Ping():
                 self.send(PONG)
             case Source() if self.proxy is None:
-                self.collector = True
+                self.collector, self.zone = True, message.zone
                 self.introduced()
             case Load(zone, target, count, failed, mean, over, load) if self.collector:
                 values = columns_in_order(load, self.names.columns)
@@ -109,7 +110,8 @@
         self.known(self, True)
 
     def superseded(self) -> None:
-        """Its proxy speaks over another connection now: this one is nobody's, and ends when it likes."""
+        """Another connection speaks for its proxy or zone now: this one is nobody's, and may end."""
+        self.splitter.limit = FIRST_BYTES
         self.known(self, False)
 
     def send(self, data: bytes) -> None:
--- /dev/null
+++ b/tests/test_module.py
@@ -0,0 +1,223 @@
+"""The module's actor: batches, streams that are replaced, faults."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+import pytest
+from desk import SETTINGS
+
+from stackwheel import interface as face
+from stackwheel.balance import Planner
+from stackwheel.interface import Action, Availability, Event, Settings
+from stackwheel.state.clock import Clock
+from stackwheel.state.ids import Ids, digest
+from stackwheel.state.module import Ended, Item, ListFailed, Module, Said
+from stackwheel.state.orders import MARKS, Message
+from stackwheel.state.roster import Instance, Listing, Roster
+from stackwheel.state.streams import Line, Stream
+
+
+class Wire:
+    def __init__(self) -> None:
+        self.replaced = 0
+
+    def superseded(self) -> None:
+        self.replaced += 1
+
+
+class Outside:
+    def __init__(self) -> None:
+        self.said: list[tuple[Any, ...]] = []
+
+    def deliver(self, messages: Sequence[tuple[Line, Message]]) -> None:
+        self.said += [("message", message.proxy, message) for _, message in messages]
+
+    def watch_list(self, on: bool) -> None:
+        self.said.append(("watch", on))
+
+    def fetch_list(self) -> None:
+        self.said.append(("fetch",))
+
+    def probe(self, server: face.Server) -> None:
+        self.said.append(("probe", server))
+
+    def tell_peers(self, payload: bytes, peer: int | None) -> None:
+        self.said.append(("tell", payload, peer))
+
+
+class Scripted:
+    """In the policy's place: notes what it is given, answers as it is told."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.seed, self.batches, self.answers = seed, [], []  # type: ignore[var-annotated]
+
+    def handle(self, now: float, events: Sequence[Event]) -> list[Action]:
+        self.batches.append(list(events))
+        answer = self.answers.pop(0) if self.answers else []
+        if isinstance(answer, Exception):
+            raise answer
+        return list(answer)
+
+
+class Setup:
+    def __init__(self) -> None:
+        self.lives: list[Scripted] = []
+        self.outside = Outside()
+        roster = Roster(("east", "west"), ("small",), Ids())
+        roster.apply(listing("s-0", "s-1"))
+        self.module = Module(SETTINGS, 0.0, 40, Clock(), roster, self.outside, self.make)
+
+    def make(self, settings: Settings, seed: int) -> Planner:
+        self.lives.append(Scripted(settings, seed))
+        return self.lives[-1]  # type: ignore[return-value]
+
+    def turn(self, *items: Item) -> list[Event]:
+        for item in items:
+            self.module.post(item)
+        self.module.turn()
+        return list(self.lives[-1].batches[-1])
+
+
+def listing(*names: str, whole: bool = True, generation: int = 1) -> Listing:
+    return Listing(generation, whole, tuple(
+        Instance(name, "127.0.0.1:1", "east", "small", 0, Availability.READY, 1.0, 0.0) for name in names))
+
+
+def stream(proxy: int, line: Wire, fresh: bool = True) -> Stream:
+    return Stream(proxy, 0, 20.0, fresh, line)
+
+
+def test_a_batch_is_all_that_came_in_order() -> None:
+    setup = Setup()
+    line = Wire()
+    usage = face.DemandReport(1, 0, 5, 0, 1000.0)
+    heard = face.ServerReport(0, digest("s-0"), 5, 0, 40.0, 1000.0)
+    got = setup.turn(stream(1, line), Said(usage, line), heard, usage, Said(face.Acknowledged(1, 7, 3.0), line))
+    assert got == [face.ProxyJoined(1, 0, 20.0, True), usage, heard, usage, face.Acknowledged(1, 7, 3.0)]
+    assert setup.module.mailbox == [] and len(setup.lives[0].batches) == 1
+
+
+def test_a_second_stream_takes_the_place_of_the_first() -> None:
+    setup = Setup()
+    old, new = Wire(), Wire()
+    setup.turn(stream(1, old))
+    assert setup.turn(stream(1, new, fresh=False)) == [face.ProxyLeft(1), face.ProxyJoined(1, 0, 20.0, False)]
+    assert (old.replaced, new.replaced) == (1, 0)
+    ack = face.Acknowledged(1, 7, 3.0)
+    assert setup.turn(Said(ack, old), Ended(1, old)) == []  # the old end is no news
+    assert setup.turn(Said(ack, new), Ended(1, new)) == [ack, face.ProxyLeft(1)]
+    assert setup.turn(Ended(1, new)) == []
+
+
+def test_only_joined_proxies_are_heard() -> None:
+    setup = Setup()
+    assert setup.turn(face.DemandReport(3, 0, 5, 0, 1000.0), Said(face.Acknowledged(3, 1, 1.0), Wire())) == []
+
+
+def test_the_list_is_followed() -> None:
+    setup = Setup()
+    (changes,) = setup.turn(listing("s-2", whole=False, generation=4))
+    assert isinstance(changes, face.ServerList)
+    assert (changes.scope, changes.version, [e.server for e in changes.entries]) == (
+        face.ListScope.CHANGES, 4, [digest("s-2")])
+    assert setup.turn(ListFailed()) == [face.ServerList(face.ListScope.FAILED, 4)]
+    (whole,) = setup.turn(listing("s-1", generation=6))
+    assert isinstance(whole, face.ServerList) and whole.scope is face.ListScope.WHOLE
+    assert list(setup.module.roster.entries) == [digest("s-1")]
+    assert setup.module.roster.ids.name(digest("s-0")) == "s-0"  # gone, but known
+
+
+def test_actions_go_out() -> None:
+    setup = Setup()
+    server = digest("s-0")
+    setup.lives[0].answers = [[face.Subscribe(), face.FetchList(), face.Probe(server), face.TellPeers(b"hi", 1),
+                               face.Log("a word"), face.SetWeight(0, server, 1.0), face.AssignTable(2, 0, ()),
+                               face.Mark(3, False)]]
+    setup.turn(stream(2, Wire()))
+    message, *others = setup.outside.said
+    assert message[:2] == ("message", 2) and message[2].mark == 3 and message[2].parts[0].lines == ((server, 1.0),)
+    assert others == [("watch", True), ("fetch",), ("probe", server), ("tell", b"hi", 1)]
+
+
+def test_timers_come_as_events() -> None:
+    async def run() -> None:
+        setup = Setup()
+        setup.lives[0].answers = [[face.SetTimer(1.0, 77)]]
+        setup.turn()
+        await asyncio.wait_for(setup.module.filled.wait(), 5)
+        assert setup.turn() == [face.TimerFired(77)] and not setup.module.timers
+
+    asyncio.run(run())
+
+
+def test_a_fault_begins_a_fresh_policy_from_list_and_streams() -> None:
+    async def run() -> None:
+        setup = Setup()
+        line = Wire()
+        setup.turn(stream(1, line))
+        setup.lives[0].answers = [[face.SetTimer(60_000.0, 5), face.SetWeight(0, digest("s-0"), 1.0),
+                                   face.AssignTable(1, 0, ()), face.Mark(9, False)], KeyError("table")]
+        setup.turn()
+        setup.turn(stream(2, Wire()))  # fails: but the stream has joined
+        await asyncio.sleep(0.01)
+        assert [life.seed for life in setup.lives] == [40, 41]
+        (start,) = setup.lives[1].batches
+        assert start == [setup.module.roster.cached(), face.ProxyJoined(1, 0, 20.0, False),
+                         face.ProxyJoined(2, 0, 20.0, False)]
+        assert not setup.module.timers and setup.module.orders.tables == {}
+        assert setup.turn(Said(face.Acknowledged(1, 9, 1.0), line)) == []  # a mark of the life before
+        current = face.Acknowledged(1, 9, 1.0)
+        assert setup.turn(Said(face.Acknowledged(1, MARKS + 9, 1.0), line)) == [current]
+
+    asyncio.run(run())
+
+
+def test_a_policy_that_fails_again_waits_but_the_list_is_kept() -> None:
+    async def run() -> None:
+        setup = Setup()
+        for _ in range(2):
+            setup.lives[-1].answers = [ValueError("no"), ValueError("no")]
+            setup.module.post(face.TimerFired(1))
+            setup.module.turn()
+            await asyncio.sleep(0.01)
+        assert len(setup.lives) == 2 and setup.module.planner is None  # the third begins a second later
+        setup.module.post(listing("s-9"))
+        setup.module.turn()
+        assert list(setup.module.roster.entries) == [digest("s-9")]
+
+    asyncio.run(run())
+
+
+def test_a_full_mailbox_drops_reports_and_keeps_streams(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("stackwheel.state.module.MAILBOX_MOST", 2)
+    setup = Setup()
+    report = face.ServerReport(0, digest("s-0"), 5, 0, 40.0, 1000.0)
+    got = setup.turn(report, report, report, stream(1, Wire()))
+    assert got == [report, report, face.ProxyJoined(1, 0, 20.0, True)]
+
+
+def test_ids_are_the_same_at_every_planner_and_collisions_are_left_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert digest("s-5be2a07c") == bytes.fromhex("3178665d73ea") and len(digest("x")) == 6
+    monkeypatch.setattr("stackwheel.state.ids.digest", lambda name: face.Server(b"\0" * 6))
+    ids = Ids()
+    assert ids.learn("s-1") == ids.learn("s-1") == b"\0" * 6
+    assert ids.learn("s-2") is None and ids.name(face.Server(b"\0" * 6)) == "s-1"
+
+
+def test_the_clock_compares_with_start_times_and_never_steps(monkeypatch: pytest.MonkeyPatch) -> None:
+    import time
+    clock = Clock()
+    assert abs(clock.now() - time.time() * 1000.0) < 1000.0
+    before = clock.now()
+    monkeypatch.setattr(time, "time", lambda: 0.0)
+    assert 0 <= clock.now() - before < 60_000.0
+
+
+def test_unknown_zones_are_left_out_and_unknown_kinds_taken() -> None:
+    roster = Roster(("east",), ("small",), Ids())
+    event = roster.apply(Listing(1, True, (
+        Instance("s-1", "h:1", "north", "small", 0, Availability.READY, 1.0, 0.0),
+        Instance("s-2", "h:1", "east", "huge", 3, Availability.DRAINING, 2.0, 1234.5))))
+    assert event.entries == (face.ServerEntry(digest("s-2"), 0, 1, 3, Availability.DRAINING, 2.0, 1234.5),)
+    assert digest("s-2") in roster.returned
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,211 @@
+"""Orders as proxies hold them: a stand-in applies what is written and must hold what the policy ordered."""
+
+from collections.abc import Iterator
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from standins import Tables
+
+from stackwheel import interface as face
+from stackwheel.interface import Action, Availability, Retry, Server
+from stackwheel.settings import Names
+from stackwheel.state.ids import Ids, digest
+from stackwheel.state.orders import EVERY_TABLE, MARKS, Message, Orders, Part
+from stackwheel.state.roster import Instance, Listing, Roster
+from stackwheel.state.streams import Stream, Streams
+from stackwheel.wire.lines import Encoder
+
+CLASSES = ("read", "write")
+SERVERS = tuple(f"s-{number}" for number in range(5))
+ONE, TWO, THREE, *_ = (digest(name) for name in SERVERS)
+
+
+class Line:
+    def __init__(self) -> None:
+        self.replaced = False
+
+    def superseded(self) -> None:
+        self.replaced = True
+
+
+def listing(*started: str) -> Listing:
+    return Listing(1, True, tuple(
+        Instance(name, "127.0.0.1:1", "a", "small", 0, Availability.READY, 1.0, 5000.0 if name in started else 0.0)
+        for name in SERVERS))
+
+
+class Setup:
+    def __init__(self, *started: str) -> None:
+        self.ids = Ids()
+        self.roster = Roster(("a",), ("small",), self.ids)
+        self.roster.apply(listing(*started))
+        self.streams = Streams()
+        self.orders = Orders(len(CLASSES), self.streams, self.roster)
+        self.encoder = Encoder(Names(classes=CLASSES), self.ids)
+        self.held: dict[int, Tables] = {}
+
+    def join(self, proxy: int, fresh: bool = True) -> None:
+        list(self.streams.join(Stream(proxy, 0, 1.0, fresh, Line())))
+        self.held.setdefault(proxy, Tables(CLASSES, set(SERVERS)))
+
+    def take(self, *actions: Action) -> dict[int, Message]:
+        messages = self.orders.take(actions)
+        for message, data in zip(messages, self.encoder.encode(messages), strict=True):
+            assert data.endswith(b"\r\n")
+            for line in data.decode().split("\r\n")[:-1]:
+                self.held[message.proxy].take(line)
+            assert self.held[message.proxy].costs[-1] == message.cost()
+        return {message.proxy: message for message in messages}
+
+
+def test_one_reply_is_one_message_in_its_end_state() -> None:
+    setup = Setup()
+    setup.join(0)
+    setup.join(1)
+    setup.take(face.SetWeight(7, ONE, 1.0), face.AssignTable(0, 7, (0,)))
+    got = setup.take(face.SetWeight(7, ONE, 2.0), face.SetWeight(7, TWO, 3.0), face.SetWeight(7, ONE, 0.0),
+                     face.SetAdmission(7, (0,), 0.5, Retry.NEVER), face.Mark(4, False))
+    assert list(got) == [0]  # the other uses no table of these
+    assert got[0].parts == (Part((0,), False, ((ONE, 0.0), (TWO, 3.0)), (0.5, Retry.NEVER)),)
+    assert got[0].mark == 4 and setup.held[0].lines["read"] == {"s-1": 3.0}
+
+
+def test_assignment_costs_what_the_policy_charges() -> None:
+    """A table bound whole: its lines, its level and the table itself; the mark goes with the head."""
+    setup = Setup()
+    setup.join(0)
+    level = face.SetAdmission(7, (0,), 1.0, Retry.ONCE_IF_UNTRIED)
+    got = setup.take(face.SetWeight(7, ONE, 1.0), face.SetWeight(7, TWO, 1.0), level, face.AssignTable(0, 7, (0,)),
+                     face.Mark(1, False))
+    assert got[0].cost() == (2 + 2) + 1
+
+
+def test_a_table_for_all_classes() -> None:
+    setup = Setup()
+    setup.join(0)
+    setup.take(face.SetWeight(7, ONE, 1.0), face.AssignTable(0, 7, ()))
+    assert setup.held[0].lines == {"read": {"s-0": 1.0}, "write": {"s-0": 1.0}}
+
+
+def test_a_whole_table_comes_with_its_level_again() -> None:
+    setup = Setup()
+    setup.join(0)
+    setup.take(face.SetWeight(7, ONE, 1.0), face.SetAdmission(7, (0,), 0.4, Retry.NEVER), face.AssignTable(0, 7, (0,)))
+    setup.take(face.AssignTable(0, 7, (0,)))
+    assert setup.held[0].levels == {"read": (0.4, 0)}
+
+
+def test_of_two_levels_the_lower_holds_with_the_tables_own_retry() -> None:
+    setup = Setup()
+    setup.join(0)
+    setup.take(face.SetWeight(7, ONE, 1.0), face.AssignTable(0, 7, (0,)),
+               face.SetAdmission(EVERY_TABLE, (), 0.5, Retry.TWICE))
+    assert setup.held[0].levels == {"read": (0.5, 3), "write": (0.5, 3)}  # standing tables too
+    setup.take(face.SetAdmission(7, (0,), 0.8, Retry.NEVER))
+    assert setup.held[0].levels["read"] == (0.5, 0)
+    setup.take(face.SetAdmission(EVERY_TABLE, (0,), 0.9, Retry.TWICE))
+    assert setup.held[0].levels["read"] == (0.8, 0)
+
+
+def test_a_cleared_table_is_empty_and_without_level() -> None:
+    setup = Setup()
+    setup.join(0)
+    setup.take(face.SetWeight(7, ONE, 1.0), face.SetAdmission(7, (0,), 0.4, Retry.NEVER), face.AssignTable(0, 7, (0,)))
+    setup.take(face.ClearTable(7), face.SetWeight(7, TWO, 2.0))
+    assert setup.held[0].lines["read"] == {"s-1": 2.0} and setup.held[0].levels == {}
+
+
+def test_withdrawals_reach_who_may_hold_the_server() -> None:
+    setup = Setup()
+    for proxy in range(3):
+        setup.join(proxy)
+    setup.take(face.SetWeight(7, ONE, 1.0), face.SetWeight(8, TWO, 1.0), face.AssignTable(0, 7, ()), face.AssignTable(1, 8, ()))
+    got = setup.take(face.Withdraw(ONE, True))
+    assert list(got) == [0, 2]  # it is in the one's table, and the third holds others'
+    assert setup.take(face.Withdraw(ONE, True)) == {}  # they know
+    setup.join(3)
+    assert list(setup.take(face.Withdraw(ONE, True))) == [3]  # who has joined since does not
+    assert list(setup.take(face.Withdraw(ONE, False))) == [0, 2, 3]
+    assert all(not held.shut for held in setup.held.values())
+
+
+def test_a_withdrawn_server_in_a_new_table_is_shut_out() -> None:
+    setup = Setup()
+    setup.take(face.Withdraw(ONE, True))
+    setup.join(0)
+    got = setup.take(face.SetWeight(7, ONE, 1.0), face.AssignTable(0, 7, ()))
+    assert got[0].shut == (ONE,) and setup.held[0].open_lines("read") == {}
+
+
+def test_what_an_earlier_planner_shut_out_is_let_back() -> None:
+    """The simulator's proxies follow only the planner that bound them; real ones keep what they were told."""
+    setup = Setup("s-0", "s-1")  # back from a restart
+    setup.join(0, fresh=False)
+    setup.held[0].shut = {"s-0", "s-1", "s-2"}
+    got = setup.take(face.SetWeight(7, ONE, 1.0), face.AssignTable(0, 7, ()))
+    assert got[0].back == (ONE,)  # and not for what the table lacks, or what never was away
+    got = setup.take(face.SetWeight(7, ONE, 2.0), face.SetWeight(7, TWO, 2.0))
+    assert got[0].back == (TWO,)
+    assert setup.held[0].open_lines("read") == {"s-0": 2.0, "s-1": 2.0}
+
+
+def test_who_holds_only_standing_tables_costs_no_such_lines() -> None:
+    setup = Setup("s-0")
+    setup.join(0)
+    assert setup.take(face.SetWeight(7, ONE, 1.0), face.AssignTable(0, 7, ()))[0].back == ()
+
+
+def test_a_server_seen_to_leave_and_return_counts_as_returned() -> None:
+    setup = Setup()
+    setup.roster.apply(Listing(2, False, (listing().instances[0].__class__(
+        "s-0", "127.0.0.1:1", "a", "small", 0, Availability.GONE, 1.0, 0.0),)))
+    setup.roster.apply(listing())
+    setup.join(0, fresh=False)
+    assert setup.take(face.SetWeight(7, ONE, 1.0), face.AssignTable(0, 7, ()))[0].back == (ONE,)
+
+
+def test_marks_of_an_earlier_life_are_told_apart() -> None:
+    setup = Setup()
+    setup.join(0)
+    assert setup.take(face.Mark(5, True))[0].mark == 5 and setup.orders.own_mark(5) == 5
+    setup.orders.start_over()
+    assert setup.take(face.Mark(5, True))[0].mark == MARKS + 5
+    assert setup.orders.own_mark(5) is None and setup.orders.own_mark(MARKS + 5) == 5
+
+
+servers = st.sampled_from([digest(name) for name in SERVERS])
+tables = st.integers(0, 3)
+places = st.lists(st.integers(0, 1), unique=True, max_size=2).map(tuple)
+weights = st.sampled_from([0.0, 1e-12, 0.25, 3.0])
+actions = st.one_of(
+    st.builds(face.SetWeight, tables, servers, weights), st.builds(face.SetWeight, tables, servers, weights),
+    st.builds(face.AssignTable, st.integers(0, 3), tables, places), st.builds(face.ClearTable, tables),
+    st.builds(face.Withdraw, servers, st.booleans()),
+    st.builds(face.SetAdmission, tables | st.just(EVERY_TABLE), places, st.sampled_from([0.0, 0.5, 1.0]), st.sampled_from(Retry)),
+    st.builds(face.Mark, st.integers(1, MARKS - 1), st.booleans()),
+)
+
+
+def expected(orders: Orders, stream: Stream, place: int) -> Iterator[tuple[Server, float]]:
+    for server, weight in orders.tables.get(stream.bound[place], {}).items():
+        if server not in orders.withdrawn:
+            yield server, weight
+
+
+@hypothesis_settings(deadline=None)
+@given(st.lists(st.lists(actions, max_size=8), max_size=8), st.booleans())
+def test_proxies_hold_what_was_ordered(replies: list[list[Action]], fresh: bool) -> None:
+    setup = Setup(*SERVERS)
+    for proxy in range(3):
+        setup.join(proxy, fresh)
+        setup.held[proxy].shut = set() if fresh else {"s-0", "s-3"}
+    for reply in replies:
+        setup.take(*reply)
+        for proxy, stream in setup.streams.by_proxy.items():
+            held = setup.held[proxy]
+            for place, table in stream.bound.items():
+                name = CLASSES[place]
+                assert held.open_lines(name) == {setup.ids.name(s): w for s, w in expected(setup.orders, stream, place)}
+                level = setup.orders.level(place, table)
+                assert held.levels.get(name) == (level and (level[0], int(level[1])))
