Streams that answer no mark and say nothing count as left; batches are logged at DEBUG

Such a stream counts as left after four report cycles, a full queue and twice the mean way, and its first word joins it again with whole tables; the connection is never ended. Could do harm where a proxy is alive but says nothing for so long: it then gets no order until it speaks. STACKWHEEL_LOG=DEBUG logs each batch: events by kind, messages, lines, time.

--- a/stackwheel/__main__.py
+++ b/stackwheel/__main__.py
@@ -26,7 +26,7 @@
     if isinstance(config, ConfigError):
         print(f"stackwheel: {config.reason}", file=sys.stderr)
         return 2
-    start_logging(config.name)
+    start_logging(config.name, os.environ.get("STACKWHEEL_LOG", "INFO"))
     try:
         asyncio.run(serve(config))
     except OSError as error:
--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -6,12 +6,18 @@
 
 from loguru import logger
 
+from stackwheel.interface import Settings
 from stackwheel.service.config import Config
 from stackwheel.state.clock import Clock
 from stackwheel.state.ids import Ids
 from stackwheel.state.module import Module
 from stackwheel.state.roster import Roster
 from stackwheel.wire.links import Links
+from stackwheel.wire.timing import stream_silence
+
+
+def silence(settings: Settings) -> float:
+    return stream_silence(settings.cycle, 1000.0 * settings.backlog / settings.channel_rate, settings.transit)
 
 
 async def serve(config: Config) -> None:
@@ -22,7 +28,8 @@
     roster = Roster(config.names.zones, config.names.kinds, Ids())
     roster.apply(config.known)
     links = Links(config.addresses, config.settings, config.names, roster, clock)
-    module = Module(config.settings, config.names.tick, config.seed, clock, roster, links)
+    module = Module(config.settings, config.names.tick, config.seed, clock, roster, links,
+                    silence(config.settings))
     module.decide([roster.cached()])  # known first; whoever connects finds a planner that is ready
     gc.collect()
     gc.freeze()  # what stands by now stays: no collection walks it again
--- a/stackwheel/service/logs.py
+++ b/stackwheel/service/logs.py
@@ -14,6 +14,7 @@
     from loguru import Record
 
 FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[planner]} {message}{extra[held]}"
+DEBUG = 10  # loguru's number of the level
 SPAN, BURST = 10.0, 20  # seconds; lines of one place in the code within it
 
 
@@ -25,6 +26,8 @@
         self.places: dict[tuple[str | None, int], tuple[float, int]] = {}
 
     def __call__(self, record: Record) -> bool:
+        if record["level"].no <= DEBUG:  # asked for, so all of it
+            return True
         place, now = (record["name"], record["line"]), self.now()
         since, count = self.places.get(place, (now, 0))
         held = ""
--- a/stackwheel/state/module.py
+++ b/stackwheel/state/module.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
@@ -66,10 +68,11 @@
     """Owns the policy, the streams and the tables; nothing else touches them."""
 
     def __init__(self, settings: Settings, tick: float, seed: int, clock: Clock, roster: Roster,
-                 outside: Outside, make: Callable[[Settings, int], Planner] = Planner) -> None:
+                 outside: Outside, silence: float = math.inf,
+                 make: Callable[[Settings, int], Planner] = Planner) -> None:
         self.settings, self.tick, self.seed, self.make = settings, tick, seed, make
         self.clock, self.roster, self.outside = clock, roster, outside
-        self.streams = Streams()
+        self.streams = Streams(silence)
         self.orders = Orders(len(settings.classes), self.streams, roster)
         self.planner: Planner | None = make(settings, seed)
         self.life, self.failed_at = 0, float("-inf")  # how often the policy began anew, and when
@@ -94,14 +97,18 @@
         """One batch: everything in the mailbox, in order."""
         items, self.mailbox = self.mailbox, []
         self.filled.clear()
-        self.decide([event for item in items for event in self.events(item)])
+        events = [event for item in items for event in self.events(item)]
+        self.decide([*events, *self.streams.fall_silent(self.clock.now())])
 
     def decide(self, events: list[Event]) -> None:
         """Ask the policy, and do as it says; without one, between two lives, nothing is decided."""
         if self.planner is None:
             return
+        began = self.clock.now()
         try:
-            self.carry_out(self.planner.handle(self.clock.now(), events))
+            messages = self.carry_out(self.planner.handle(began, events))
+            took = self.clock.now() - began
+            logger.opt(lazy=True).debug("{}", lambda: self.account(events, messages, took))
         except Exception as error:
             logger.opt(exception=True).error("module fault on {} events: {!r}", len(events), error)
             self.start_over()
@@ -112,11 +119,9 @@
                 return self.streams.join(item)
             case Ended(proxy, line):
                 return self.streams.leave(proxy, line)
-            case Said(face.Acknowledged(proxy, mark, elapsed), line):
-                own = self.orders.own_mark(mark) if self.streams.carried_by(proxy, line) else None
-                return [] if own is None else [face.Acknowledged(proxy, own, elapsed)]
-            case Said(face.DemandReport() as report, line):
-                return [report] if self.streams.carried_by(report.proxy, line) else []
+            case Said(event, line):
+                news = self.streams.heard(event.proxy, line)
+                return [] if news is None else [*news, *self.current(event)]
             case Listing():
                 return [self.roster.apply(item)]
             case ListFailed():
@@ -127,10 +132,26 @@
                 return [item]
         return []
 
-    def carry_out(self, actions: list[Action]) -> None:
+    def current(self, event: face.Acknowledged | face.DemandReport) -> Iterable[Event]:
+        """What a proxy said, unless it answers a mark of an earlier policy."""
+        if isinstance(event, face.DemandReport):
+            return [event]
+        own = self.orders.own_mark(event.mark)
+        return [] if own is None else [face.Acknowledged(event.proxy, own, event.elapsed)]
+
+    @staticmethod
+    def account(events: list[Event], messages: list[Message], took: float) -> str:
+        kinds = Counter(type(event).__name__ for event in events)
+        inward = " ".join(f"{name} {count}" for name, count in kinds.items()) or "nothing"
+        lines, marks = sum(m.cost() for m in messages), {m.mark for m in messages}
+        return f"batch: {inward}; {len(messages)} messages, {lines} lines, marks {marks or ''}; {took:.1f} ms"
+
+    def carry_out(self, actions: list[Action]) -> list[Message]:
         messages = self.orders.take(actions)
         lines = self.streams.by_proxy
         self.outside.deliver([(lines[m.proxy].line, m) for m in messages])
+        for message in [m for m in messages if m.mark is not None]:
+            self.streams.asked(message.proxy, self.clock.now())
         for action in actions:
             match action:
                 case face.SetTimer(delay, token):
@@ -147,6 +168,7 @@
                     logger.info("module: {}", text)
                 case _:
                     pass
+        return messages
 
     def set_timer(self, delay: float, token: int) -> None:
         def fire() -> None:
--- a/stackwheel/state/streams.py
+++ b/stackwheel/state/streams.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from loguru import logger
+
 from stackwheel import interface as face
 from stackwheel.interface import Event, Server
 
@@ -26,6 +29,7 @@
     line: Line
     bound: dict[int, int] = field(default_factory=dict)  # by class: its table
     shut: dict[Server, bool] = field(default_factory=dict)  # as ordered on this stream: out, or let back
+    asked_at: float | None = None  # when the first mark went out that nothing has been heard since
 
     def tables(self) -> set[int]:
         return set(self.bound.values())
@@ -35,27 +39,55 @@
 
 
 class Streams:
-    def __init__(self) -> None:
+    """A machine that vanishes gives no sign: a stream that leaves a mark unanswered and says nothing else for
+    `silence` ms counts as left. Its connection stays, and its first word joins it again."""
+
+    def __init__(self, silence: float = math.inf) -> None:
+        self.silence = silence
         self.by_proxy: dict[int, Stream] = {}
+        self.silent: dict[int, Stream] = {}
 
     def join(self, stream: Stream) -> Iterable[Event]:
         """A new stream of a proxy takes the place of the old one, whose end is then no news."""
-        old = self.by_proxy.get(stream.proxy)
+        old = self.by_proxy.pop(stream.proxy, None)
+        quiet = self.silent.pop(stream.proxy, None)
+        for replaced in (old, quiet):
+            if replaced is not None and replaced.line is not stream.line:
+                replaced.line.superseded()
         self.by_proxy[stream.proxy] = stream
         if old is not None:
-            if old.line is not stream.line:
-                old.line.superseded()
             yield face.ProxyLeft(old.proxy)
         yield stream.joined()
 
     def leave(self, proxy: int, line: Line) -> Iterable[Event]:
-        if self.carried_by(proxy, line):
+        if (quiet := self.silent.get(proxy)) is not None and quiet.line is line:
+            del self.silent[proxy]
+        elif (stream := self.by_proxy.get(proxy)) is not None and stream.line is line:
             del self.by_proxy[proxy]
             yield face.ProxyLeft(proxy)
 
-    def carried_by(self, proxy: int, line: Line) -> bool:
-        stream = self.by_proxy.get(proxy)
-        return stream is not None and stream.line is line
+    def heard(self, proxy: int, line: Line) -> Iterable[Event] | None:
+        """What a word over a connection means for its proxy; None if that connection does not carry it."""
+        stream, quiet = self.by_proxy.get(proxy), self.silent.get(proxy)
+        if stream is not None and stream.line is line:
+            stream.asked_at = None
+            return ()
+        if quiet is not None and quiet.line is line:
+            logger.info("{}: speaks again, and joins anew", line)
+            return self.join(Stream(proxy, quiet.zone, quiet.rate, False, line))
+        return None
+
+    def asked(self, proxy: int, now: float) -> None:
+        """A mark has gone out to it."""
+        stream = self.by_proxy[proxy]
+        stream.asked_at = now if stream.asked_at is None else stream.asked_at
+
+    def fall_silent(self, now: float) -> Iterable[Event]:
+        late = now - self.silence
+        for stream in [s for s in self.by_proxy.values() if s.asked_at is not None and s.asked_at < late]:
+            logger.warning("{}: says nothing and answers no mark; counts as left", stream.line)
+            self.silent[stream.proxy] = self.by_proxy.pop(stream.proxy)
+            yield face.ProxyLeft(stream.proxy)
 
     def start_over(self) -> Iterable[Event]:
         """The joins that a fresh policy is told of; the proxies keep what the last one ordered."""
--- a/stackwheel/wire/timing.py
+++ b/stackwheel/wire/timing.py
@@ -18,6 +18,14 @@
 KEPT_SOCKETS = 64  # descriptors kept back besides those of proxies and collectors: list, probes, log, loop
 
 
+SILENT_CYCLES = 4  # of reports: a proxy with requests says something each cycle
+
+
+def stream_silence(cycle: float, full_queue: float, transit: float) -> float:
+    """How long a joined proxy may say nothing and leave a mark unanswered; that may wait in a full queue."""
+    return SILENT_CYCLES * cycle + full_queue + 2 * transit
+
+
 def strangers_most(sockets: int, proxies: int, zones: int) -> int:
     """Connections that may say nothing: never so many that a proxy finds no descriptor."""
     return max(16, (sockets - 2 * (proxies + zones) - KEPT_SOCKETS) // 2)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -66,7 +66,7 @@
         self.outside = Outside()
         roster = Roster(("east", "west"), ("small",), Ids())
         roster.apply(listing("s-0", "s-1"))
-        self.module = Module(SETTINGS, 0.0, 40, Clock(), roster, self.outside, self.make)
+        self.module = Module(SETTINGS, 0.0, 40, Clock(), roster, self.outside, 5000.0, self.make)
 
     def make(self, settings: Settings, seed: int) -> Planner:
         self.lives.append(Scripted(settings, seed))
@@ -221,3 +221,51 @@
         Instance("s-2", "h:1", "east", "huge", 3, Availability.DRAINING, 2.0, 1234.5))))
     assert event.entries == (face.ServerEntry(digest("s-2"), 0, 1, 3, Availability.DRAINING, 2.0, 1234.5),)
     assert digest("s-2") in roster.returned
+
+
+def test_a_stream_that_answers_nothing_counts_as_left_until_it_speaks() -> None:
+    """A machine cut off gives no sign: its demand would count on, and its marks be waited for."""
+    setup = Setup()
+    clock = SetClock()
+    setup.module.clock = clock  # type: ignore[assignment]
+    line, other = Wire(), Wire()
+    usage = face.DemandReport(1, 0, 5, 0, 1000.0)
+    setup.turn(stream(1, line), stream(2, other))
+    clock.at = 60_000.0
+    assert setup.turn() == []  # nothing was asked of it, so its quiet is no silence
+    setup.lives[0].answers = [[face.Mark(3, True)]]
+    setup.turn()
+    clock.at += 4000.0
+    assert setup.turn(Said(face.DemandReport(2, 0, 5, 0, 1000.0), other)) == [face.DemandReport(2, 0, 5, 0, 1000.0)]
+    clock.at += 1001.0
+    assert setup.turn() == [face.ProxyLeft(1)]
+    setup.outside.said.clear()
+    setup.lives[0].answers = [[face.Mark(4, True)]]
+    setup.turn()
+    assert [said[1] for said in setup.outside.said] == [2]
+    assert setup.turn(Said(usage, line)) == [face.ProxyJoined(1, 0, 20.0, False), usage]
+    assert setup.turn(Ended(1, line)) == [face.ProxyLeft(1)] and line.replaced == 0
+
+
+def test_a_silent_stream_that_ends_or_is_replaced_is_no_news() -> None:
+    setup = Setup()
+    clock = SetClock()
+    setup.module.clock = clock  # type: ignore[assignment]
+    lines = Wire(), Wire()
+    setup.turn(stream(1, lines[0]), stream(2, lines[1]))
+    setup.lives[0].answers = [[face.Mark(3, True)]]
+    setup.turn()
+    clock.at = 6000.0
+    assert setup.turn() == [face.ProxyLeft(1), face.ProxyLeft(2)]
+    assert setup.turn(Ended(1, lines[0])) == []
+    new = Wire()
+    assert setup.turn(stream(2, new)) == [face.ProxyJoined(2, 0, 20.0, True)] and lines[1].replaced == 1
+    assert setup.turn(Said(face.Acknowledged(2, 3, 1.0), lines[1])) == []
+
+
+class SetClock:
+    def __init__(self) -> None:
+        self.at = 0.0
+
+    def now(self) -> float:
+        return self.at
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -103,7 +103,7 @@
 async def through_the_service(batches: list[Batch], found: Config) -> list[list[Action]]:
     roster, clock = Roster(found.names.zones, found.names.kinds, Ids()), SetClock()
     links = Links(found.addresses, found.settings, found.names, roster, clock)  # type: ignore[arg-type]
-    module = Module(found.settings, 0.0, 40, clock, roster, links, Watched)  # type: ignore[arg-type]
+    module = Module(found.settings, 0.0, 40, clock, roster, links, 1e12, Watched)  # type: ignore[arg-type]
     await links.open(module.post)
     host, _, port = found.addresses.listen.rpartition(":")
     speakers: dict[str, asyncio.StreamWriter] = {}
