--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -48,6 +48,7 @@
         self.datagrams = Datagrams(list(addresses.peers), addresses.peers_all or ":0", settings.planner,
                                    lambda item: self.post(item))
         self.strangers: dict[Peer, None] = {}  # the longest silent first
+        self.arriving = 0  # connections taken, but not attended yet
         self.collectors: dict[int, Peer] = {}  # the newest of each zone; older ones are still heard
         self.strangers_most = timing.strangers_most(addresses.sockets, settings.proxies, settings.zones)
         self.post: Callable[[Item], None] = lambda item: None
@@ -77,21 +78,30 @@
             logger.opt(exception=error).error("fault {!r}", error)
 
     async def listen(self, listener: socket.socket) -> None:
-        """One by one: the loop's own server, short of descriptors, tries and logs in a storm."""
+        """Take in all that wait, so that proxies that come together join in one batch.
+
+        The loop's own server, short of descriptors, tries and logs in a storm.
+        """
         loop = asyncio.get_running_loop()
         while True:
+            while self.arriving >= timing.ACCEPT_BURST:
+                await asyncio.sleep(0)
             try:
                 connection, _ = await loop.sock_accept(listener)
-                reader, writer = await asyncio.open_connection(sock=connection, limit=timing.READ_BYTES)
             except OSError as error:
                 logger.warning("connection not accepted: {}", error)
                 if self.strangers:
                     self.drop(next(iter(self.strangers)), "no descriptor is left")
                 await asyncio.sleep(timing.ACCEPT_AGAIN / 1000.0)
                 continue
-            self.keep(self.attend(reader, writer))
+            self.arriving += 1
+            self.keep(self.attend(connection))
 
-    async def attend(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def attend(self, connection: socket.socket) -> None:
+        try:
+            reader, writer = await asyncio.open_connection(sock=connection, limit=timing.READ_BYTES)
+        finally:
+            self.arriving -= 1
         peer = Peer(reader, writer, self.names, self.settings.proxies, self.post, self.known)
         self.known(peer, False)
         try:
--- a/stackwheel/wire/timing.py
+++ b/stackwheel/wire/timing.py
@@ -14,6 +14,7 @@
 READ_BYTES = 64 * 1024
 BODY_MOST = 16 << 20  # bytes of an answer or of one line of a watch
 ACCEPT_AGAIN = 10.0  # after a connection that could not be accepted
+ACCEPT_BURST = 64  # connections set up at once
 LISTEN_BACKLOG = 1024  # connections that wait to be accepted: every proxy may come at once
 KEPT_SOCKETS = 64  # descriptors kept back besides those of proxies and collectors: list, probes, log, loop
 
