Bad input names its place; a stream's word for another proxy is left out; socket figures written up

A stream that speaks for another proxy is not closed for it: a healthy stream is never ended. The limit of descriptors is the lower of the one told and the process's own.

--- a/stackwheel/service/config.py
+++ b/stackwheel/service/config.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import resource
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -74,7 +75,7 @@
     addresses = Addresses(
         address(found, "listen"), address(found, "discovery"), address(found, "peer_listen", ""),
         tuple(checked("peers", peer) for peer in peers), address(found, "peers_all", ""),
-        int(limits.get("sockets", DEFAULT_SOCKETS)))
+        min(int(limits.get("sockets", DEFAULT_SOCKETS)), resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
     known = found.get("known")
     return Config(str(found.get("name", "planner")), addresses, read_seed(found.get("seed", "0")),
                   build_settings(pairs), read_names(pairs),
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -40,6 +40,7 @@
         self.zone: int | None = None  # of a collector
         self.heard_at = asyncio.get_running_loop().time()
         self.splitter = Splitter()
+        self.heard = 0  # messages
         self.unsent = 0  # bytes in the mailbox
         self.mailbox: asyncio.Queue[bytes] = asyncio.Queue()
         host, port = (writer.get_extra_info("peername") or ("?", 0))[:2]
@@ -67,16 +68,18 @@
         while data := await self.reader.read(timing.READ_BYTES):
             self.heard_at = asyncio.get_running_loop().time()
             for line in self.splitter.feed(data):
+                self.heard += 1
                 message = decode(line, self.names)
                 refused = message if isinstance(message, Unreadable) else self.take(message)
                 if refused is not None:
-                    logger.warning("{}: closed: {}", self, refused.reason)
+                    logger.warning("{}: closed at message {}: {}", self, self.heard, refused.reason)
                     return
             if self.splitter.overrun:
-                logger.warning("{}: closed: a line over {} bytes", self, self.splitter.limit)
+                limit = self.splitter.limit
+                logger.warning("{}: closed after message {}: a line over {} bytes", self, self.heard, limit)
                 return
-        if self.splitter.held:
-            logger.warning("{}: ended inside a line, after {} bytes", self, len(self.splitter.held))
+        if held := len(self.splitter.held):
+            logger.warning("{}: ended inside a line, {} bytes after message {}", self, held, self.heard)
 
     def take(self, message: Message) -> Unreadable | None:
         """Pass a message on; the reason if it has no place here."""
@@ -95,6 +98,9 @@
                 self.post(Said(face.DemandReport(proxy, place, count, failed, over), self))
             case Ack(proxy, mark, elapsed) if self.proxy == proxy:
                 self.post(Said(face.Acknowledged(proxy, mark, elapsed), self))
+            case Rate() | Ack() if self.proxy is not None:
+                other = message.proxy
+                logger.warning("{}: message {} speaks for proxy {}; left out", self, self.heard, other)
             case Join(proxy, zone, rate, fresh) if not self.collector and self.proxy in (None, proxy):
                 if proxy >= self.proxies:
                     return Unreadable(f"proxy {proxy} of {self.proxies}")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -86,7 +86,7 @@
             await proxy.until(full(set(planner.discovery.instances)))
             _, log = await planner.stop()
             warnings = [line for line in log.splitlines() if "WARNING" in line and "closed" in line]
-            assert len(warnings) == 1 and "127.0.0.1:" in warnings[0]
+            assert len(warnings) == 1 and "127.0.0.1:" in warnings[0] and " message " in warnings[0]
 
     run(work())
 
@@ -99,7 +99,21 @@
             bad.writer.write_eof()
             assert await bad.closed()
             _, log = await planner.stop()
-            assert "ended inside a line, after 17 bytes" in log
+            assert "ended inside a line, 17 bytes after message 0" in log
+
+    run(work())
+
+
+def test_a_word_for_another_proxy_is_left_out(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with running(tmp_path) as planner:
+            proxy = await planner.join(0)
+            await proxy.until(full(set(planner.discovery.instances)))
+            proxy.connection.say("RATE id=3 lane=read count=9 fail=0 over=1000.0", "ACK id=3 seq=1 ms=1", "PING")
+            while (line := await proxy.connection.line()) != "PONG":
+                proxy.tables.take(line)
+            _, log = await planner.stop()
+            assert log.count("speaks for proxy 3; left out") == 2
 
     run(work())
 
