--- a/stackwheel/state/module.py
+++ b/stackwheel/state/module.py
@@ -91,7 +91,10 @@
         while True:
             await self.filled.wait()
             await asyncio.sleep(self.tick / 1000.0)
-            self.turn()
+            try:
+                self.turn()
+            except Exception as error:  # in what is kept, not in the policy: it too goes on
+                logger.opt(exception=True).error("fault in a batch: {!r}", error)
 
     def turn(self) -> None:
         """One batch: everything in the mailbox, in order."""
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -263,6 +263,24 @@
     assert setup.turn(Said(face.Acknowledged(2, 3, 1.0), lines[1])) == []
 
 
+def test_a_fault_outside_the_policy_loses_that_batch_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        setup = Setup()
+        running = asyncio.create_task(setup.module.run())
+        with monkeypatch.context() as broken:
+            broken.setattr(setup.module.roster, "apply", lambda listing: 1 / 0)
+            setup.module.post(listing("s-2"))
+            while setup.module.mailbox:
+                await asyncio.sleep(0.001)
+        setup.module.post(stream(1, Wire()))
+        while not setup.lives[0].batches:
+            await asyncio.sleep(0.001)
+        assert setup.lives[0].batches == [[face.ProxyJoined(1, 0, 20.0, True)]] and not running.done()
+        running.cancel()
+
+    asyncio.run(asyncio.wait_for(work(), 30))
+
+
 class SetClock:
     def __init__(self) -> None:
         self.at = 0.0
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -251,6 +251,24 @@
     run(work())
 
 
+def test_a_planner_that_stood_still_takes_up_where_it_was(tmp_path: Path) -> None:
+    """What came meanwhile lies ready: neither the watch nor a stream has gone silent."""
+    async def work() -> None:
+        async with running(tmp_path) as planner:
+            proxy = await planner.join(0)
+            await proxy.until(full(set(planner.discovery.instances)))
+            planner.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(4.0)  # longer than a watch may be quiet
+            planner.process.send_signal(signal.SIGCONT)
+            await planner.discovery.update("s-1", lifecycle="terminating")
+            await proxy.until(full({"s-0", "s-2", "s-3"}))
+            _, log = await planner.stop()
+            assert "failed" not in log and "counts as left" not in log
+            assert planner.discovery.calls == ["served"]
+
+    run(work())
+
+
 @pytest.mark.parametrize(
     ("text", "says"),
     [(None, "ROUTER_CONFIG names no configuration"), ("", "no JSON"), ("[]", "not a JSON object"), ("{}", "'settings' is missing"),
