--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -36,7 +36,6 @@
         self.post = post
         self.known = known  # told when the peer says what it is, and when it is nobody again
         self.proxy: int | None = None
-        self.collector = False
         self.zone: int | None = None  # of a collector
         self.heard_at = asyncio.get_running_loop().time()
         self.splitter = Splitter()
@@ -47,7 +46,7 @@
         self.address = f"{host}:{port}"
 
     def __str__(self) -> str:
-        who = "collector" if self.collector else "stranger" if self.proxy is None else f"proxy {self.proxy}"
+        who = "collector" if self.zone is not None else "stranger" if self.proxy is None else f"proxy {self.proxy}"
         return f"{who} at {self.address}"
 
     async def run(self) -> None:
@@ -87,12 +86,12 @@
             case Ping():
                 self.send(PONG)
             case Source() if self.proxy is None:
-                self.collector, self.zone = True, message.zone
+                self.zone = message.zone
                 self.introduced()
-            case Load(zone, target, count, failed, mean, over, load) if self.collector:
+            case Load(zone, target, count, failed, mean, over, load) if self.zone is not None:
                 values = columns_in_order(load, self.names.columns)
                 self.post(face.ServerReport(zone, digest(target), count, failed, mean, over, values))
-            case Rate(proxy, place, count, failed, over) if self.collector:
+            case Rate(proxy, place, count, failed, over) if self.zone is not None:
                 self.post(face.DemandReport(proxy, place, count, failed, over))
             case Rate(proxy, place, count, failed, over) if self.proxy == proxy:
                 self.post(Said(face.DemandReport(proxy, place, count, failed, over), self))
@@ -101,7 +100,7 @@
             case Rate() | Ack() if self.proxy is not None:
                 other = message.proxy
                 logger.warning("{}: message {} speaks for proxy {}; left out", self, self.heard, other)
-            case Join(proxy, zone, rate, fresh) if not self.collector and self.proxy in (None, proxy):
+            case Join(proxy, zone, rate, fresh) if self.zone is None and self.proxy in (None, proxy):
                 if proxy >= self.proxies:
                     return Unreadable(f"proxy {proxy} of {self.proxies}")
                 self.proxy = proxy
