--- a/stackwheel/settings.py
+++ b/stackwheel/settings.py
@@ -19,6 +19,7 @@
 # A load column's other names, and the name that the settings and the policy know it by.
 COLUMNS = {"inflight": "outstanding", "queue": "backlog", "util": "utilization", "latency_ms": "recent_ms",
            "qps": "throughput", "eps": "errors_per_s"}
+OPTIONAL = ("obligations.only_draining_binds",)  # given only where it holds
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +84,7 @@
         self.absent: list[str] = []  # looked up, but not there
 
     def find(self, path: str) -> str | None:
-        if path not in self.pairs:
+        if path not in self.pairs and path not in OPTIONAL:
             self.absent.append(path)
         return self.pairs.get(path)
 
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -46,8 +46,8 @@
         self.address = f"{host}:{port}"
 
     def __str__(self) -> str:
-        who = "collector" if self.zone is not None else "stranger" if self.proxy is None else f"proxy {self.proxy}"
-        return f"{who} at {self.address}"
+        who = "stranger" if self.proxy is None else f"proxy {self.proxy}"
+        return f"{who if self.zone is None else 'collector'} at {self.address}"
 
     async def run(self) -> None:
         writing = asyncio.create_task(self.write())
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,7 +4,7 @@
 import pytest
 
 from stackwheel.interface import RequestClass, Retry, Settings
-from stackwheel.settings import SettingsError, parse_settings
+from stackwheel.settings import SettingsError, absent_paths, flatten, parse_settings, read_names
 
 
 def parse(text: str) -> Settings:
@@ -54,3 +54,17 @@
 def test_not_text() -> None:
     with pytest.raises(SettingsError, match="UTF-8"):
         parse_settings(b"a=\xff")
+
+
+def test_what_is_absent_is_named() -> None:
+    """A misspelt path quietly becomes a default, so the service says at its start what it was not given."""
+    given = {"zones": ["a b", "c,d"], "services": [{"name": "read"}], "load_report": {"columns": ["inflight", "util"]},
+             "bounds": {"peers": True}, "nothing": None, "obligations": {"cold": 5.0, "coldness": 1}}
+    pairs = dict(flatten(given))
+    assert pairs == {"zones": "a_b,c_d", "services.count": "1", "services.0.name": "read", "bounds.peers": "true",
+                     "load_report.columns": "inflight,util", "obligations.cold": "5.0", "obligations.coldness": "1"}
+    absent = absent_paths(pairs)
+    assert "obligations.cold_share" in absent and "services.0.target" in absent and "tick" in absent
+    assert not {"obligations.cold", "zones", "services.0.name", "obligations.only_draining_binds",
+                "services.0.only_zones"} & set(absent)
+    assert read_names(pairs).columns == ("outstanding", "utilization")
