Count messages to a proxy over 0.5 s more than the limit's span, as they arrive late

The limit counts arrivals, Outbox.may_write counts orders; with batches logged one took up to 55 ms between the two, so a first message that arrives late and a thirteenth at once would break the rule. The service widens the span it gives the policy (app.on_sockets); module and drill are as they were.

--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+from dataclasses import replace
 
 from loguru import logger
 
@@ -13,13 +14,18 @@
 from stackwheel.state.module import Module
 from stackwheel.state.roster import Roster
 from stackwheel.wire.links import Links
-from stackwheel.wire.timing import stream_silence
+from stackwheel.wire.timing import ARRIVAL, stream_silence
 
 
 def silence(settings: Settings) -> float:
     return stream_silence(settings.cycle, 1000.0 * settings.backlog / settings.channel_rate, settings.transit)
 
 
+def on_sockets(settings: Settings) -> Settings:
+    """The policy counts messages to a proxy as it orders them, the limit as they arrive: a longer span."""
+    return replace(settings, message_window=settings.message_window + ARRIVAL)
+
+
 async def serve(config: Config) -> None:
     """Answer and decide until cancelled; OSError if an address can't be had."""
     if config.absent:
@@ -28,7 +34,7 @@
     roster = Roster(config.names.zones, config.names.kinds, Ids())
     roster.apply(config.known)
     links = Links(config.addresses, config.settings, config.names, roster, clock)
-    module = Module(config.settings, config.names.tick, config.seed, clock, roster, links,
+    module = Module(on_sockets(config.settings), config.names.tick, config.seed, clock, roster, links,
                     silence(config.settings))
     module.decide([roster.cached()])  # known first; whoever connects finds a planner that is ready
     gc.collect()
