--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -14,7 +14,7 @@
 from stackwheel.state.module import Module
 from stackwheel.state.roster import Roster
 from stackwheel.wire.links import Links
-from stackwheel.wire.timing import ARRIVAL, stream_silence
+from stackwheel.wire.timing import JITTER, stream_silence
 
 
 def silence(settings: Settings) -> float:
@@ -22,8 +22,11 @@
 
 
 def on_sockets(settings: Settings) -> Settings:
-    """The policy counts messages to a proxy as it orders them, the limit as they arrive: a longer span."""
-    return replace(settings, message_window=settings.message_window + ARRIVAL)
+    """Slots come some ms early or late: what leaves the span after so many cycles shall have left it.
+
+    The connection keeps the limit itself, over the whole span and as messages are written.
+    """
+    return replace(settings, message_window=max(0.0, settings.message_window - JITTER))
 
 
 async def serve(config: Config) -> None:
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -21,7 +21,7 @@
 from stackwheel.wire.discovery import Discovery
 from stackwheel.wire.http import split_address
 from stackwheel.wire.lines import Encoder
-from stackwheel.wire.peer import Peer
+from stackwheel.wire.peer import Pace, Peer
 from stackwheel.wire.probes import probe, unknown
 
 
@@ -102,7 +102,8 @@
             reader, writer = await asyncio.open_connection(sock=connection, limit=timing.READ_BYTES)
         finally:
             self.arriving -= 1
-        peer = Peer(reader, writer, self.names, self.settings.proxies, self.post, self.known)
+        peer = Peer(reader, writer, self.names, self.settings.proxies, self.post, self.known,
+                    Pace(self.settings.message_cap, self.settings.message_window + timing.JITTER))
         self.known(peer, False)
         try:
             await peer.run()
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 
 from loguru import logger
@@ -27,13 +28,31 @@
 )
 
 
+class Pace:
+    """Never more messages than the cap within the span, as written: the one over it waits its turn."""
+
+    def __init__(self, cap: int, span: float) -> None:
+        self.span = span / 1000.0
+        self.written: deque[float] | None = deque(maxlen=cap) if cap else None
+
+    def wait(self, now: float) -> float:
+        """Seconds until another message may be written."""
+        if self.written is None or len(self.written) < (self.written.maxlen or 0):
+            return 0.0
+        return max(0.0, self.written[0] + self.span - now)
+
+    def wrote(self, now: float) -> None:
+        if self.written is not None:
+            self.written.append(now)
+
+
 class Peer:
     """A proxy's stream, a collector, or somebody who has not said yet."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, names: Names, proxies: int,
-                 post: Callable[[Item], None], known: Callable[[Peer, bool], None]) -> None:
+                 post: Callable[[Item], None], known: Callable[[Peer, bool], None], pace: Pace) -> None:
         self.reader, self.writer, self.names, self.proxies = reader, writer, names, proxies
-        self.post = post
+        self.post, self.pace = post, pace
         self.known = known  # told when the peer says what it is, and when it is nobody again
         self.proxy: int | None = None
         self.zone: int | None = None  # of a collector
@@ -132,6 +151,11 @@
         try:
             while True:
                 data = await self.mailbox.get()
+                if data is not PONG:
+                    now = asyncio.get_running_loop().time
+                    while (wait := self.pace.wait(now())) > 0:
+                        await asyncio.sleep(wait)
+                    self.pace.wrote(now())
                 self.writer.write(data)
                 await self.writer.drain()
                 self.unsent -= len(data)
--- a/stackwheel/wire/timing.py
+++ b/stackwheel/wire/timing.py
@@ -19,7 +19,7 @@
 KEPT_SOCKETS = 64  # descriptors kept back besides those of proxies and collectors: list, probes, log, loop
 
 
-ARRIVAL = 0.25 * BEAT  # one message may arrive so much later than it was ordered, and the next one not
+JITTER = 50.0  # by which batches come earlier or later than the cycle says, and writes after them
 SILENT_CYCLES = 4  # of reports: a proxy with requests says something each cycle
 
 
--- a/tests/test_app.py
+++ b/tests/test_app.py
@@ -6,20 +6,33 @@
 
 from stackwheel.balance import Outbox, ProxyView
 from stackwheel.service.app import on_sockets, silence
+from stackwheel.wire.peer import Pace
 
 
-def test_messages_that_arrive_late_stay_under_the_cap() -> None:
-    """The first of a span may arrive 55 ms after it was ordered and the one over the cap at once."""
+def test_a_slot_that_comes_early_finds_the_message_of_as_many_cycles_ago_gone() -> None:
+    """In the simulator the tenth slot comes 10 s later to the millisecond, on sockets 3 ms early or late."""
     told = replace(SETTINGS, message_cap=2, message_window=10_000.0)
     outbox, proxy = Outbox(on_sockets(told)), ProxyView(0, [1.0])
     proxy.written = [1000.0, 2000.0]
-    outbox.advance(11_001.0)
-    assert not outbox.may_write(proxy, 1.0)
-    outbox.advance(11_501.0)
+    outbox.advance(10_990.0)
     assert outbox.may_write(proxy, 1.0)
     assert replace(on_sockets(told), message_window=told.message_window) == told
 
 
+def test_the_connection_keeps_the_cap_as_messages_are_written() -> None:
+    pace = Pace(2, 10_000.0)
+    assert [pace.wait(now) for now in (0.0, 5.0)] == [0.0, 0.0]
+    pace.wrote(1.0)
+    pace.wrote(4.0)
+    assert pace.wait(5.0) == 6.0 and pace.wait(11.0) == 0.0
+    pace.wrote(11.0)
+    assert pace.wait(12.0) == 2.0
+    free = Pace(0, 10_000.0)
+    for _ in range(100):
+        free.wrote(1.0)
+    assert free.wait(1.0) == 0.0
+
+
 def test_silence_outlasts_reports_and_a_full_queue() -> None:
     told = replace(SETTINGS, cycle=1000.0, backlog=6000.0, channel_rate=3000.0, transit=300.0)
     assert silence(told) == 4000.0 + 2000.0 + 600.0
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -269,6 +269,33 @@
     run(work())
 
 
+def test_half_lines_and_strangers_stay_within_the_memory(tmp_path: Path) -> None:
+    """Every proxy and collector, and hundreds who say nothing, each with as much of a line as it may hold."""
+    async def work() -> None:
+        async with running(tmp_path) as planner:
+            everyone = set(planner.discovery.instances)
+            proxies = [await planner.join(number) for number in range(8)]
+            for proxy in proxies:
+                await proxy.until(full(everyone))
+            speakers = [proxy.connection for proxy in proxies]
+            speakers += [await planner.collector(zone) for zone in ("east", "west", "east", "west")]
+            for speaker in speakers:
+                speaker.writer.write(b"RATE " + b"x" * 1_000_000)
+                await asyncio.wait_for(speaker.writer.drain(), MOST)
+            strangers = [await planner.connect() for _ in range(300)]
+            for stranger in strangers:
+                stranger.writer.write(b"x" * 4000)
+            await planner.discovery.update("s-1", lifecycle="terminating")
+            await proxies[0].until(full(everyone - {"s-1"}))
+            status = Path(f"/proc/{planner.process.pid}/status").read_text()
+            most = next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM"))
+            assert most < 100 * 1024  # KiB; the limit in service is 192 MB
+            for stranger in strangers:
+                stranger.close()
+
+    run(work())
+
+
 @pytest.mark.parametrize(
     ("text", "says"),
     [(None, "ROUTER_CONFIG names no configuration"), ("", "no JSON"), ("[]", "not a JSON object"), ("{}", "'settings' is missing"),
