Take repeats and needless work out of the service; behaviour is the same

The settings were read three times at the start (policy, names, what is absent), the classes and columns twice each: one reading, from which the names are derived. For a batch that ordered nothing, most of them acknowledgements, a message was composed and dropped for every proxy, and every proxy's tables were gathered for each reply though nothing was withdrawn: now neither. Which stream runs over a connection was asked four times in the same words. A loop round a watch's lines could only run once. A server without an address made a coroutine that waits.

--- a/stackwheel/service/config.py
+++ b/stackwheel/service/config.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from stackwheel.interface import Settings
-from stackwheel.settings import Names, SettingsError, absent_paths, build_settings, flatten, read_names
+from stackwheel.settings import Names, SettingsError, build_all, flatten
 from stackwheel.state.roster import Listing
 from stackwheel.wire.discovery import read_listing
 from stackwheel.wire.http import split_address
@@ -68,7 +68,7 @@
     settings = found["settings"]
     if not isinstance(settings, dict) or not settings:
         raise ValueError("settings is no object")
-    pairs = dict(flatten(settings))
+    built, names, absent = build_all(dict(flatten(settings)))
     limits, peers = found.get("limits", {}), found.get("peers", [])
     if not isinstance(limits, dict) or not isinstance(peers, list):
         raise ValueError("limits or peers is wrong")
@@ -78,9 +78,7 @@
         min(int(limits.get("sockets", DEFAULT_SOCKETS)), resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
     known = found.get("known")
     return Config(str(found.get("name", "planner")), addresses, read_seed(found.get("seed", "0")),
-                  build_settings(pairs), read_names(pairs),
-                  Listing(0, True, ()) if known is None else read_listing(known),
-                  tuple(absent_paths(pairs)))
+                  built, names, Listing(0, True, ()) if known is None else read_listing(known), absent)
 
 
 def address(found: dict[str, object], key: str, default: str | None = None) -> str:
--- a/stackwheel/settings.py
+++ b/stackwheel/settings.py
@@ -135,12 +135,12 @@
     return collect_settings(_Reader(pairs))
 
 
-def absent_paths(pairs: Mapping[str, str]) -> list[str]:
-    """Settings that have their default because the pairs lack them: a misspelt path is found by this."""
+def build_all(pairs: Mapping[str, str]) -> tuple[Settings, Names, tuple[str, ...]]:
+    """Settings, names, and the paths that the pairs lack: a misspelt one quietly becomes a default."""
     read = _Reader(pairs)
-    collect_settings(read)
-    collect_names(read)
-    return sorted(set(read.absent))
+    settings = collect_settings(read)
+    names = collect_names(read, settings)
+    return settings, names, tuple(sorted(set(read.absent)))
 
 
 def collect_settings(read: _Reader) -> Settings:
@@ -151,7 +151,7 @@
         home_zone=read.whole("zone", defaults.home_zone),
         zones=max(1, len(read.words("zones"))),
         classes=read_classes(read),
-        load_columns=read_columns(read),
+        load_columns=tuple(COLUMNS.get(name, name) for name in read.words("load_report.columns")),
         weights_listed=(read.find("weight_kind") or "off") != "off",
         list_on_request=read.word("discovery", "pushed", ("pushed", "on_request")) == "on_request",
         ask_within=read.number("obligations.ask_within", defaults.ask_within),
@@ -183,26 +183,18 @@
     )
 
 
-def read_names(pairs: Mapping[str, str]) -> Names:
-    return collect_names(_Reader(pairs))
-
-
-def collect_names(read: _Reader) -> Names:
+def collect_names(read: _Reader, settings: Settings) -> Names:
     defaults = Names()
     return Names(
-        classes=tuple(wanted.name for wanted in read_classes(read)),
+        classes=tuple(wanted.name for wanted in settings.classes),
         zones=read.words("zones"),
         kinds=read.words("kinds"),
-        columns=read_columns(read),
+        columns=settings.load_columns,
         tick=read.number("tick", defaults.tick),
         load_on_probe=(read.find("load_report.source") or "off") != "off",
     )
 
 
-def read_columns(read: _Reader) -> tuple[str, ...]:
-    return tuple(COLUMNS.get(name, name) for name in read.words("load_report.columns"))
-
-
 def read_retry(read: _Reader, defaults: Settings) -> Retry:
     value = read.whole("family_info.usual_how", int(defaults.usual_retry))
     if value > max(Retry):
--- a/stackwheel/state/orders.py
+++ b/stackwheel/state/orders.py
@@ -74,6 +74,8 @@
         touched = Touched()
         for action in actions:
             self.apply(action, touched)
+        if touched == Touched():  # most batches order nothing
+            return []
         parts: dict[tuple[object, ...], Part] = {}  # proxies of a table share its parts
         messages = [self.message(stream, touched, parts) for stream in self.streams.by_proxy.values()]
         everyone = touched.mark is not None and touched.mark.everyone
@@ -147,10 +149,11 @@
     def health(self, stream: Stream, touched: Touched,
                parts: tuple[Part, ...]) -> tuple[tuple[Server, ...], tuple[Server, ...]]:
         """Servers to shut out or let back: those its tables hold, and any if it holds others' tables too."""
-        held = {s for table in stream.tables() for s in self.tables.get(table, ())}
+        held = [self.tables.get(table, {}) for table in stream.tables()]
         foreign = len(stream.bound) < len(self.classes)
         named = dict.fromkeys(s for part in parts for s, weight in part.lines if weight > 0)
-        news = [s for s in touched.health if foreign or s in held or stream.shut.get(s)]
+        news = [s for s in touched.health
+                if foreign or stream.shut.get(s) or any(s in lines for lines in held)]
         shut: list[Server] = []
         back: list[Server] = []
         for server in dict.fromkeys([*news, *named]):
--- a/stackwheel/state/streams.py
+++ b/stackwheel/state/streams.py
@@ -38,6 +38,12 @@
         return face.ProxyJoined(self.proxy, self.zone, self.rate, self.fresh)
 
 
+def carried(streams: dict[int, Stream], proxy: int, line: Line) -> Stream | None:
+    """The proxy's stream among these, if it runs over that connection."""
+    stream = streams.get(proxy)
+    return stream if stream is not None and stream.line is line else None
+
+
 class Streams:
     """A machine that vanishes gives no sign: a stream that leaves a mark unanswered and says nothing else for
     `silence` ms counts as left. Its connection stays, and its first word joins it again."""
@@ -60,19 +66,18 @@
         yield stream.joined()
 
     def leave(self, proxy: int, line: Line) -> Iterable[Event]:
-        if (quiet := self.silent.get(proxy)) is not None and quiet.line is line:
+        if carried(self.silent, proxy, line):
             del self.silent[proxy]
-        elif (stream := self.by_proxy.get(proxy)) is not None and stream.line is line:
+        elif carried(self.by_proxy, proxy, line):
             del self.by_proxy[proxy]
             yield face.ProxyLeft(proxy)
 
     def heard(self, proxy: int, line: Line) -> Iterable[Event] | None:
         """What a word over a connection means for its proxy; None if that connection does not carry it."""
-        stream, quiet = self.by_proxy.get(proxy), self.silent.get(proxy)
-        if stream is not None and stream.line is line:
+        if stream := carried(self.by_proxy, proxy, line):
             stream.asked_at = None
             return ()
-        if quiet is not None and quiet.line is line:
+        if quiet := carried(self.silent, proxy, line):
             logger.info("{}: speaks again, and joins anew", line)
             return self.join(Stream(proxy, quiet.zone, quiet.rate, False, line))
         return None
--- a/stackwheel/wire/discovery.py
+++ b/stackwheel/wire/discovery.py
@@ -89,13 +89,11 @@
         call = Call(self.address, f"{PATH}?follow=1&since={self.generation}")
         try:
             failed = await call.open(timing.DIAL, timing.ANSWER)
-            while failed is None:
-                async for found in self.lines(call):
-                    if isinstance(found, CallFailed):
-                        failed = found
-                        break
-                    self.settle(found)
-            self.settle(failed)
+            if failed is not None:
+                self.settle(failed)
+                return
+            async for found in self.lines(call):
+                self.settle(found)
         except Exception as error:
             logger.exception("watch on {} failed: {!r}", self.address, error)
             self.settle(CallFailed(Stage.BODY, repr(error)))
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from stackwheel import interface as face
 from stackwheel.interface import Server, Settings
 from stackwheel.settings import Names
 from stackwheel.state.clock import Clock
@@ -22,7 +23,7 @@
 from stackwheel.wire.http import split_address
 from stackwheel.wire.lines import Encoder
 from stackwheel.wire.peer import Pace, Peer
-from stackwheel.wire.probes import probe, unknown
+from stackwheel.wire.probes import UNREACHABLE, probe
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,12 +150,13 @@
         self.discovery.mailbox.put_nowait("fetch")
 
     def probe(self, server: Server) -> None:
-        async def ask() -> None:
-            address = self.roster.addresses.get(server)
-            asked = probe(server, address, self.names, self.clock) if address else unknown(server)
-            self.post(await asked)
+        async def ask(address: str) -> None:
+            self.post(await probe(server, address, self.names, self.clock))
 
-        self.keep(ask())
+        if address := self.roster.addresses.get(server):
+            self.keep(ask(address))
+        else:  # no list has told where it is
+            self.post(face.ProbeResult(server, UNREACHABLE, 0.0))
 
     def tell_peers(self, payload: bytes, peer: int | None) -> None:
         self.datagrams.send(payload, peer)
--- a/stackwheel/wire/probes.py
+++ b/stackwheel/wire/probes.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from stackwheel import interface as face
 from stackwheel.interface import Server
 from stackwheel.settings import Names
@@ -32,12 +30,6 @@
 def outcome(failed: CallFailed) -> int:
     if failed.stage is Stage.STATUS:
         return TURNED_AWAY if failed.status == 503 else ERROR
-    if failed.timed_out:
-        return UNREACHABLE if failed.stage is Stage.DIAL else NO_ANSWER
-    return UNREACHABLE if failed.stage is Stage.DIAL else RESET
-
-
-async def unknown(server: Server) -> face.ProbeResult:
-    """A server that no list has given an address for."""
-    await asyncio.sleep(0)
-    return face.ProbeResult(server, UNREACHABLE, 0.0)
+    if failed.stage is Stage.DIAL:
+        return UNREACHABLE
+    return NO_ANSWER if failed.timed_out else RESET
--- a/stackwheel/wire/timing.py
+++ b/stackwheel/wire/timing.py
@@ -17,8 +17,6 @@
 ACCEPT_BURST = 64  # connections set up at once
 LISTEN_BACKLOG = 1024  # connections that wait to be accepted: every proxy may come at once
 KEPT_SOCKETS = 64  # descriptors kept back besides those of proxies and collectors: list, probes, log, loop
-
-
 JITTER = 50.0  # by which batches come earlier or later than the cycle says, and writes after them
 SILENT_CYCLES = 4  # of reports: a proxy with requests says something each cycle
 
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -12,7 +12,7 @@
 from stackwheel.drill.wire import Batch, Create, Decoder, encode_action
 from stackwheel.interface import Action, Event, Settings
 from stackwheel.service.config import Config, read_config
-from stackwheel.settings import flatten, parse_settings, read_names
+from stackwheel.settings import build_all, flatten, parse_settings
 from stackwheel.state.ids import Ids, digest
 from stackwheel.state.module import Module
 from stackwheel.state.roster import Roster
@@ -55,7 +55,8 @@
     pairs = dict(flatten(nested()))
     blob = "\n".join(f"{path}={value}" for path, value in pairs.items()).encode()
     assert parse_settings(blob) == parse_settings(frames.SETTINGS.encode())
-    assert read_names(pairs).classes == ("read", "write") and read_names(pairs).columns == ("outstanding",)
+    _, names, _ = build_all(pairs)
+    assert names.classes == ("read", "write") and names.columns == ("outstanding",)
 
 
 def document(event: face.ServerList) -> bytes:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,7 +4,7 @@
 import pytest
 
 from stackwheel.interface import RequestClass, Retry, Settings
-from stackwheel.settings import SettingsError, absent_paths, flatten, parse_settings, read_names
+from stackwheel.settings import SettingsError, build_all, flatten, parse_settings
 
 
 def parse(text: str) -> Settings:
@@ -63,8 +63,8 @@
     pairs = dict(flatten(given))
     assert pairs == {"zones": "a_b,c_d", "services.count": "1", "services.0.name": "read", "bounds.peers": "true",
                      "load_report.columns": "inflight,util", "obligations.cold": "5.0", "obligations.coldness": "1"}
-    absent = absent_paths(pairs)
+    _, names, absent = build_all(pairs)
     assert "obligations.cold_share" in absent and "services.0.target" in absent and "tick" in absent
     assert not {"obligations.cold", "zones", "services.0.name", "obligations.only_draining_binds",
                 "services.0.only_zones"} & set(absent)
-    assert read_names(pairs).columns == ("outstanding", "utilization")
+    assert names.columns == ("outstanding", "utilization")
