SIGHUP reads the configuration again and moves the watch; before, it ended the process

Checked: nothing in __main__ or service/app.py handled the signal. At fault: __main__.py (no handler), wire/discovery.py (one address for good). Now: SIGHUP waits, blocked, from the first line on; service/reload.py reads and checks the whole file; the watch is handed over and the first answer reconciled as a whole list. me and peers that contradict instances are refused. The toy server lost a change that came in the moment of its beat; seen as a test that failed once, put right. tests/test_reload.py fails without the change (the process ends).

--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -79,8 +79,8 @@
                 try:
                     await asyncio.wait_for(self.changed.wait_for(lambda: self.generation > told), BEAT)  # noqa: B023
                     piece = self.document(told)
-                except TimeoutError:
-                    piece = b"\n"
+                except TimeoutError:  # a change may have come just then
+                    piece = self.document(told) if self.generation > told else b"\n"
 
 
 async def read_request(http: h11.Connection, reader: asyncio.StreamReader) -> str:
--- a/stackwheel/__main__.py
+++ b/stackwheel/__main__.py
@@ -16,6 +16,7 @@
 def main() -> int:
     signal.signal(signal.SIGTERM, stop)  # before anything that takes time
     signal.signal(signal.SIGINT, stop)
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # it waits until there is something to reload
     import asyncio
 
     from stackwheel.service.app import serve
--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
+import signal
 from dataclasses import replace
 
 from loguru import logger
 
 from stackwheel.interface import Settings
 from stackwheel.service.config import Config
+from stackwheel.service.reload import Reload
 from stackwheel.state.clock import Clock
 from stackwheel.state.ids import Ids
 from stackwheel.state.module import Module
@@ -45,4 +48,8 @@
     await links.open(module.post)
     logger.info("ready on {}, {} servers known of list {}", config.addresses.listen, len(roster.entries),
                 roster.generation)
+    reload = Reload(config, links.readdress)
+    links.keep(reload.run())
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload.ask)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came during the start counts now
     await module.run()
--- a/stackwheel/wire/datagrams.py
+++ b/stackwheel/wire/datagrams.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from loguru import logger
 
@@ -14,12 +14,16 @@
 
 
 class Datagrams(asyncio.DatagramProtocol):
-    def __init__(self, peers: list[str], everyone: str, own: int,
+    def __init__(self, peers: Sequence[str], everyone: str, own: int,
                  post: Callable[[face.PeerMessage], None]) -> None:
-        self.peers = [split_address(peer) for peer in peers]
-        self.everyone, self.own, self.post = split_address(everyone), own, post
+        self.own, self.post = own, post
+        self.readdress(peers, everyone)
         self.transport: asyncio.DatagramTransport | None = None
 
+    def readdress(self, peers: Sequence[str], everyone: str) -> None:
+        self.peers = [split_address(peer) for peer in peers]
+        self.everyone = split_address(everyone or ":0")
+
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:  # type: ignore[override]
         self.transport = transport
 
--- a/stackwheel/wire/discovery.py
+++ b/stackwheel/wire/discovery.py
@@ -6,6 +6,7 @@
 import json
 import math
 from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -53,55 +54,141 @@
     return float(value)
 
 
+def merge(held: Listing, changes: Listing) -> Listing:
+    """A whole list brought forward by what changed since."""
+    found = {instance.name: instance for instance in (*held.instances, *changes.instances)}
+    return Listing(changes.generation, True, tuple(found.values()))
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Discovery is at another address from now on."""
+
+    address: str
+
+
 class Discovery:
-    """Its mailbox holds what the policy asks for; each call ends in one item for the module."""
+    """Its mailbox holds what the policy asks for, and moves; each call ends in one item for the module.
+
+    After a move the old address is watched until the new one has answered. That answer is taken for the
+    whole list, as what the old one told, and in which numbers, says nothing of the new one.
+    """
 
     def __init__(self, address: str, generation: int, follow_always: bool,
                  post: Callable[[Listing | ListFailed], None]) -> None:
         self.address, self.generation, self.post = address, generation, post
         self.follow_always = follow_always  # where changes come unasked, so does the watch
-        self.mailbox: asyncio.Queue[str] = asyncio.Queue()
+        self.source = address  # whose list is in force
+        self.mailbox: asyncio.Queue[str | Move] = asyncio.Queue()
         self.watching: asyncio.Task[None] | None = None
+        self.successor: asyncio.Task[None] | None = None  # a watch at a new address that has not answered yet
         self.fetching: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         if self.follow_always:
             self.mailbox.put_nowait("watch")
         while True:
-            asked = await self.mailbox.get()
-            if asked == "fetch":
-                task = asyncio.create_task(self.fetch())
-                self.fetching.add(task)
-                task.add_done_callback(self.fetching.discard)
-                continue
-            if self.watching is not None:
-                self.watching.cancel()
-                self.watching = None
-            if asked == "watch":
-                self.watching = asyncio.create_task(self.watch())
-
-    async def fetch(self) -> None:
-        body = await get(self.address, PATH, timing.DIAL, timing.ANSWER)
-        self.settle(body if isinstance(body, CallFailed) else parse_listing(body))
-
-    async def watch(self) -> None:
+            match await self.mailbox.get():
+                case Move(address):
+                    self.move(address)
+                case "again" if self.watching is not None and self.source != self.address:
+                    self.successor = self.successor or asyncio.create_task(self.watch(self.address))
+                case "fetch":
+                    task = asyncio.create_task(self.fetch(self.address))
+                    self.fetching.add(task)
+                    task.add_done_callback(self.fetching.discard)
+                case "watch" if self.successor is None:
+                    self.let_go()
+                    self.watching = asyncio.create_task(self.watch(self.address))
+                case "stop":
+                    self.let_go()
+
+    def move(self, address: str) -> None:
+        """Look for the list elsewhere; without a watch there is nothing to hand over."""
+        if address == self.address:
+            return
+        logger.info("discovery moves from {} to {}", self.address, address)
+        self.address = address
+        if self.successor is not None:
+            self.successor.cancel()
+            self.successor = None
+        if self.watching is not None:
+            self.mailbox.put_nowait("again")
+
+    def let_go(self) -> None:
+        for task in (self.watching, self.successor):
+            if task is not None and task is not asyncio.current_task():
+                task.cancel()
+        self.watching = self.successor = None
+
+    async def fetch(self, address: str) -> None:
+        body = await get(address, PATH, timing.DIAL, timing.ANSWER)
+        if address == self.address:  # else it is of a discovery that has moved meanwhile
+            found = body if isinstance(body, CallFailed) else parse_listing(body)
+            if isinstance(found, CallFailed):
+                self.failed(found, address)
+            else:
+                self.settle(found, address)
+
+    async def watch(self, address: str) -> None:
         """Follow until it fails. Every end is a failure: a watch lasts until its connection ends."""
-        call = Call(self.address, f"{PATH}?follow=1&since={self.generation}")
+        since = f"&since={self.generation}" if address == self.source else ""
+        call = Call(address, f"{PATH}?follow=1{since}")
         try:
             failed = await call.open(timing.DIAL, timing.ANSWER)
-            if failed is not None:
-                self.settle(failed)
-                return
-            async for found in self.lines(call):
-                self.settle(found)
+            lists = self.lines(call) if address == self.source else self.whole(call, address)
+            while failed is None:
+                found = await anext(lists)
+                if isinstance(found, CallFailed):
+                    failed = found
+                elif found is not None:
+                    self.settle(found, address)
         except Exception as error:
-            logger.exception("watch on {} failed: {!r}", self.address, error)
-            self.settle(CallFailed(Stage.BODY, repr(error)))
+            logger.exception("watch on {} failed: {!r}", address, error)
+            failed = CallFailed(Stage.BODY, repr(error))
         finally:
             call.close()
+        self.watch_ended(failed, address)
 
-    async def lines(self, call: Call) -> AsyncIterator[Listing | CallFailed]:
-        """The lists of a watch, one JSON object a line; a last failure ends it."""
+    def watch_ended(self, failed: CallFailed, address: str) -> None:
+        """A watch that another takes the place of is no loss; else the module hears of it."""
+        if self.successor is asyncio.current_task():
+            self.successor = None
+        else:
+            self.watching = None
+        if self.watching is None and self.successor is None:
+            self.failed(failed, address)
+            return
+        logger.info("discovery {} ended at {}: {}; another watch goes on", address, failed.stage.name,
+                    failed.reason)
+        if self.successor is None:
+            asyncio.get_running_loop().call_later(timing.DIAL / 1000.0, self.mailbox.put_nowait, "again")
+
+    async def whole(self, call: Call, address: str) -> AsyncIterator[Listing | CallFailed | None]:
+        """The lists of a watch at a new address, the first of them whole.
+
+        The old address may have told more by then: a list behind that waits for what changed since, but no
+        longer than a beat, as its numbers may also be others.
+        """
+        held: Listing | None = None
+        async for found in self.lines(call):
+            if isinstance(found, CallFailed) or self.source == address:
+                yield found
+            elif found is not None and not found.whole and held is None:
+                body = await get(address, PATH, timing.DIAL, timing.ANSWER)
+                fetched = body if isinstance(body, CallFailed) else parse_listing(body)
+                if isinstance(fetched, CallFailed):
+                    yield fetched
+                    return
+                held = fetched
+            elif found is not None:
+                held = found if held is None or found.whole else merge(held, found)
+            if held is not None and (found is None or held.generation >= self.generation):
+                yield held
+                held = None
+
+    async def lines(self, call: Call) -> AsyncIterator[Listing | CallFailed | None]:
+        """The lists of a watch, one JSON object a line, None for an empty line; a last failure ends it."""
         held, limit = bytearray(), timing.ANSWER
         while True:
             piece = await call.chunk(limit)
@@ -113,24 +200,30 @@
             while (end := held.find(b"\n")) >= 0:
                 line = bytes(held[:end]).strip()
                 del held[:end + 1]
-                if line:
-                    found = parse_listing(line)
-                    yield found
-                    if isinstance(found, CallFailed):
-                        return
+                found = parse_listing(line) if line else None
+                yield found
+                if isinstance(found, CallFailed):
+                    return
             if len(held) > timing.BODY_MOST:
                 yield CallFailed(Stage.BODY, f"line over {timing.BODY_MOST} bytes")
                 return
 
-    def settle(self, found: Listing | CallFailed) -> None:
-        """One answer: the list, or one event that it could not be had."""
-        if isinstance(found, Listing):
-            self.generation = found.generation
-            logger.info("list {}: {} {} instances", found.generation, "all" if found.whole else "changed",
-                        len(found.instances))
-            self.post(found)
-            return
-        logger.warning("discovery {} failed at {}: {}", self.address, found.stage.name, found.reason)
+    def settle(self, found: Listing, address: str) -> None:
+        if address != self.source:
+            logger.info("discovery {} takes the place of {}", address, self.source)
+            self.source = address
+        if self.successor is asyncio.current_task():
+            if self.watching is not None:
+                self.watching.cancel()
+            self.watching, self.successor = self.successor, None
+        self.generation = found.generation
+        logger.info("list {}: {} {} instances", found.generation, "all" if found.whole else "changed",
+                    len(found.instances))
+        self.post(found)
+
+    def failed(self, failed: CallFailed, address: str) -> None:
+        """One event that the list could not be had; the policy says when to ask again."""
+        logger.warning("discovery {} failed at {}: {}", address, failed.stage.name, failed.reason)
         if self.follow_always:
             asyncio.get_running_loop().call_later(timing.DIAL / 1000.0, self.mailbox.put_nowait, "watch")
         else:
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -19,7 +19,7 @@
 from stackwheel.state.streams import Line
 from stackwheel.wire import timing
 from stackwheel.wire.datagrams import Datagrams
-from stackwheel.wire.discovery import Discovery
+from stackwheel.wire.discovery import Discovery, Move
 from stackwheel.wire.http import split_address
 from stackwheel.wire.lines import Encoder
 from stackwheel.wire.peer import Pace, Peer
@@ -46,7 +46,7 @@
         self.encoder = Encoder(names, roster.ids)
         self.discovery = Discovery(addresses.discovery, roster.generation, not settings.list_on_request,
                                    lambda item: self.post(item))
-        self.datagrams = Datagrams(list(addresses.peers), addresses.peers_all or ":0", settings.planner,
+        self.datagrams = Datagrams(addresses.peers, addresses.peers_all, settings.planner,
                                    lambda item: self.post(item))
         self.strangers: dict[Peer, None] = {}  # the longest silent first
         self.arriving = 0  # connections taken, but not attended yet
@@ -68,6 +68,14 @@
         self.keep(self.listen(listener))
         self.keep(self.sweep())
 
+    def readdress(self, addresses: Addresses) -> None:
+        """Go on with other addresses and limits."""
+        self.addresses = addresses
+        self.strangers_most = timing.strangers_most(addresses.sockets, self.settings.proxies,
+                                                    self.settings.zones)
+        self.datagrams.readdress(addresses.peers, addresses.peers_all)
+        self.discovery.mailbox.put_nowait(Move(addresses.discovery))
+
     def keep(self, work: Coroutine[object, object, None]) -> None:
         task = asyncio.create_task(work)
         self.tasks.add(task)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -101,8 +101,14 @@
         self.address = ""
 
     async def start(self) -> None:
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = "{}:{}".format(*server.sockets[0].getsockname()[:2])
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*self.server.sockets[0].getsockname()[:2])
+
+    async def shut(self) -> None:
+        """No new connection, and an end to those still open."""
+        self.server.close()
+        for writer in self.open:
+            writer.transport.abort()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.open.add(writer)
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,247 @@
+"""A new configuration under load: SIGHUP, what it changes, what it leaves, and what a bad file does."""
+
+import asyncio
+import json
+import signal
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+from planner import MOST, PlannerProcess, running, start
+from standins import Discovery, config, free_port
+
+from stackwheel.state.module import ListFailed
+from stackwheel.state.roster import Listing
+from stackwheel.wire import discovery as wire
+
+
+def run(work: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(work, 120))
+
+
+def holds(*servers: str) -> Any:
+    return lambda tables: all(set(tables.open_lines(name)) == set(servers) for name in tables.classes)
+
+
+async def another(*servers: str, generation: int = 1) -> Discovery:
+    found = Discovery()
+    await found.start()
+    found.generation = generation
+    for number, name in enumerate(servers):
+        found.add(name, f"127.0.0.1:{9100 + number}", "east")
+    return found
+
+
+def reload(planner: PlannerProcess, folder: Path, text: str | None = None, **changed: Any) -> None:
+    planner.config.update(changed)
+    (folder / "config.json").write_text(json.dumps(planner.config) if text is None else text)
+    planner.process.send_signal(signal.SIGHUP)
+
+
+async def logged(planner: PlannerProcess, words: str) -> None:
+    """Read the log up to a line; what is read here is gone from what `stop` returns."""
+    assert planner.process.stderr is not None
+    while words not in (line := (await asyncio.wait_for(planner.process.stderr.readline(), MOST)).decode()):
+        assert line, f"the log ended before {words!r}"
+
+
+def test_discovery_moves_while_proxies_stay(tmp_path: Path) -> None:
+    """Its first answer is the whole list, whatever its numbers; then the old address is let go."""
+    async def work() -> None:
+        second = await another("s-0", "s-1", "s-9", generation=7)
+        async with running(tmp_path) as planner:
+            proxy = await planner.join(0)
+            await proxy.until(holds("s-0", "s-1", "s-2", "s-3"))
+            proxy.tables.servers.add("s-9")
+            reload(planner, tmp_path, discovery=second.address)
+            await proxy.until(holds("s-0", "s-1", "s-9"))
+            await planner.discovery.shut()
+            await second.update("s-1", lifecycle="terminated")
+            await proxy.until(holds("s-0", "s-9"))
+            code, log = await planner.stop()
+            assert code == 0 and "failed" not in log and "closed" not in log and "Traceback" not in log
+            assert "configuration reloaded; changed: discovery" in log
+            assert second.calls == ["served"]
+
+    run(work())
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [("{", "no JSON"), ("[]", "not a JSON object"), ("{}", "'settings' is missing"),
+     ('{"settings": {"instances": 2, "me": 2}, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1"}',
+      "settings.me is 2, of 2 instances"),
+     ('{"settings": {"instances": 2}, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", '
+      '"peers": ["127.0.0.1:1"]}', "1 peers for 2 instances"),
+     ('{"settings": {"me": 0}, "listen": "127.0.0.1:1", "discovery": "nowhere"}', "discovery is no address")],
+)
+def test_a_bad_file_is_one_line_and_the_old_one_holds(tmp_path: Path, text: str, says: str) -> None:
+    async def work() -> None:
+        async with running(tmp_path) as planner:
+            proxy = await planner.join(0)
+            await proxy.until(holds("s-0", "s-1", "s-2", "s-3"))
+            reload(planner, tmp_path, text)
+            await logged(planner, "configuration not reloaded")
+            await planner.discovery.update("s-3", lifecycle="terminated")
+            await proxy.until(holds("s-0", "s-1", "s-2"))
+            reload(planner, tmp_path, text)
+            await asyncio.sleep(0.2)
+            code, log = await planner.stop()
+            assert code == 0 and log.count(says) == 1 and "Traceback" not in log
+
+    run(work())
+
+
+def test_what_needs_a_restart_is_named_and_the_rest_applied(tmp_path: Path) -> None:
+    async def work() -> None:
+        second = await another("s-0", "s-9")
+        async with running(tmp_path) as planner:
+            proxy = await planner.join(0)
+            await proxy.until(holds("s-0", "s-1", "s-2", "s-3"))
+            proxy.tables.servers.add("s-9")
+            listen, settings = planner.config["listen"], {**planner.config["settings"], "tick": 3.0}
+            reload(planner, tmp_path, discovery=second.address, settings=settings,
+                   listen=f"127.0.0.1:{free_port()}", limits={"memory_mb": 64, "sockets": 512})
+            await proxy.until(holds("s-0", "s-9"))
+            planner.config["listen"] = listen
+            await planner.ready()
+            _, log = await planner.stop()
+            assert "in force only after a restart: listen, settings" in log
+            assert "changed: discovery, sockets" in log
+
+    run(work())
+
+
+def test_two_in_a_row_and_a_stop_during_one(tmp_path: Path) -> None:
+    async def work() -> None:
+        second, third = await another("s-0", "s-8"), await another("s-0", "s-9")
+        second.troubles = ["silence"]  # the call is still open when the next file comes
+        async with running(tmp_path) as planner:
+            proxy = await planner.join(0)
+            await proxy.until(holds("s-0", "s-1", "s-2", "s-3"))
+            proxy.tables.servers |= {"s-8", "s-9"}
+            reload(planner, tmp_path, discovery=second.address)
+            while not second.calls:
+                await asyncio.sleep(0.01)
+            reload(planner, tmp_path, discovery=third.address)
+            await proxy.until(holds("s-0", "s-9"))
+            reload(planner, tmp_path, discovery=second.address)
+            planner.process.send_signal(signal.SIGTERM)
+            code, log = await planner.stop()
+            assert code == 0 and "Traceback" not in log and "failed" not in log
+
+    run(work())
+
+
+def test_a_new_address_that_fails_leaves_the_old_in_force(tmp_path: Path) -> None:
+    async def work() -> None:
+        second = await another("s-0", "s-9")
+        second.troubles = ["503"]
+        async with running(tmp_path) as planner:
+            proxy = await planner.join(0)
+            await proxy.until(holds("s-0", "s-1", "s-2", "s-3"))
+            proxy.tables.servers.add("s-9")
+            reload(planner, tmp_path, discovery=second.address)
+            while not second.calls:
+                await asyncio.sleep(0.01)
+            await planner.discovery.update("s-3", lifecycle="terminated")  # told by the old address
+            await proxy.until(holds("s-0", "s-1", "s-2"))
+            await proxy.until(holds("s-0", "s-9"))
+            assert second.calls == ["503", "served"]
+
+    run(work())
+
+
+def test_a_hangup_during_the_start_is_no_end(tmp_path: Path) -> None:
+    """From the first line on it waits, and counts once there is something to reload."""
+    async def work() -> None:
+        discovery = Discovery()
+        await discovery.start()
+        process = await start(config(discovery.address), tmp_path)
+        status = Path(f"/proc/{process.pid}/status")
+        while not any(line.startswith("SigBlk") and int(line.split()[1], 16) & 1 << (signal.SIGHUP - 1)
+                      for line in status.read_text().splitlines()):
+            assert process.returncode is None
+            await asyncio.sleep(0)
+        process.send_signal(signal.SIGHUP)
+        planner = PlannerProcess(process, json.loads((tmp_path / "config.json").read_text()), discovery)
+        await planner.ready()
+        code, log = await planner.stop()
+        assert code == 0 and "configuration reloaded; changed: nothing" in log
+
+    run(work())
+
+
+class Watch:
+    """The list's actor in a process of the test's own."""
+
+    def __init__(self, address: str, generation: int = 0) -> None:
+        self.posted: list[Listing | ListFailed] = []
+        self.actor = wire.Discovery(address, generation, False, self.posted.append)
+        self.task = asyncio.create_task(self.actor.run())
+
+    async def until(self, count: int) -> None:
+        while len(self.posted) < count:
+            await asyncio.sleep(0.005)
+
+    def found(self, place: int) -> tuple[int, bool, set[str]]:
+        listing = self.posted[place]
+        assert isinstance(listing, Listing)
+        return listing.generation, listing.whole, {i.name for i in listing.instances}
+
+
+def test_a_list_behind_what_was_told_waits_for_its_changes() -> None:
+    async def work() -> None:
+        first, second = await another("a", "b", generation=8), await another("a", "b", generation=7)
+        watch = Watch(first.address)
+        watch.actor.mailbox.put_nowait("watch")
+        await watch.until(1)
+        await first.update("b", lifecycle="terminated")
+        await watch.until(2)
+        watch.actor.mailbox.put_nowait(wire.Move(second.address))
+        while not second.calls:
+            await asyncio.sleep(0.005)
+        await second.update("a")
+        await second.update("b", lifecycle="terminated")
+        await watch.until(3)
+        assert [watch.found(place)[:2] for place in range(3)] == [(8, True), (9, False), (9, True)]
+        assert {i.name for i in watch.posted[2].instances  # type: ignore[union-attr]
+                if i.availability.name != "GONE"} == {"a"}
+        watch.task.cancel()
+
+    run(work())
+
+
+def test_changes_as_a_first_answer_are_not_taken_for_the_list() -> None:
+    """A discovery that tells only what changed is asked for the whole as well."""
+    async def work() -> None:
+        first, second = await another("a"), await another("a", "b", generation=3)
+        whole = second.document
+        second.document = lambda since: whole(since if len(second.calls) > 1 else 0)  # type: ignore[method-assign]
+        watch = Watch(first.address)
+        watch.actor.mailbox.put_nowait("watch")
+        await watch.until(1)
+        watch.actor.mailbox.put_nowait(wire.Move(second.address))
+        await watch.until(2)
+        assert watch.found(1) == (3, True, {"a", "b"})
+        assert second.calls == ["served", "served"]
+        watch.task.cancel()
+
+    run(work())
+
+
+def test_a_move_without_a_watch_counts_for_the_next_call() -> None:
+    async def work() -> None:
+        first, second = await another("a"), await another("b")
+        watch = Watch(first.address)
+        watch.actor.mailbox.put_nowait(wire.Move(second.address))
+        watch.actor.mailbox.put_nowait("watch")
+        await watch.until(1)
+        assert watch.found(0) == (1, True, {"b"}) and not first.calls
+        await second.shut()
+        await watch.until(2)
+        assert isinstance(watch.posted[1], ListFailed)
+        watch.task.cancel()
+
+    run(work())
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -138,7 +138,7 @@
         discovery = Discovery()
         await discovery.start()
         discovery.troubles = ["silence"] * 9  # the test tells the list itself
-        found = read_config(config(discovery.address, settings={**nested(), "me": 0}))
+        found = read_config(config(discovery.address, peers=[], settings={**nested(), "me": 0}))
         decoder = Decoder()
         batches = [decoder.batch(frame[:20], frame[20:]) for frame in day()]
         return batches, await asyncio.wait_for(through_the_service(batches, found), 60)
