One deadline and NACK for who has not joined; descriptors by what is really free

Checked: strangers_most gave 16 places at 256 descriptors and about 7 times as many proxies dial at once; each is a stranger until its first line is read. Now: 1.5 s from accepting and 4 KiB in all; room by joined connections, oldest stranger first but none younger than 50 ms; half lines and mailboxes share a quarter of memory_mb.

--- a/stackwheel/service/config.py
+++ b/stackwheel/service/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import resource
 from collections.abc import Mapping
@@ -18,7 +19,7 @@
 
 VARIABLE = "ROUTER_CONFIG"
 OVERRIDES = {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "discovery": "ROUTER_DISCOVERY"}
-DEFAULT_SOCKETS = 1024
+DEFAULT_LIMITS = {"sockets": 1024.0, "memory_mb": 192.0}
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +76,8 @@
     addresses = Addresses(
         address(found, "listen"), address(found, "discovery"), address(found, "peer_listen", ""),
         tuple(checked("peers", peer) for peer in peers), address(found, "peers_all", ""),
-        min(int(limits.get("sockets", DEFAULT_SOCKETS)), resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
+        min(int(limit(limits, "sockets")), resource.getrlimit(resource.RLIMIT_NOFILE)[0]),
+        limit(limits, "memory_mb"))
     if built.planner >= built.planners:
         raise ValueError(f"settings.me is {built.planner}, of {built.planners} instances")
     if addresses.peers and len(addresses.peers) != built.planners:
@@ -100,6 +102,13 @@
     return str(value)
 
 
+def limit(limits: dict[str, object], key: str) -> float:
+    value = limits.get(key, DEFAULT_LIMITS[key])
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 1 <= value < math.inf:
+        raise ValueError(f"limits.{key} is out of range: {str(value)[:40]!r}")
+    return float(value)
+
+
 def read_seed(value: object) -> int:
     try:
         return value if isinstance(value, int) else int(str(value), 16)
--- a/stackwheel/wire/lines.py
+++ b/stackwheel/wire/lines.py
@@ -15,7 +15,8 @@
 
 END = b"\r\n"
 PONG = b"PONG" + END
-FIRST_BYTES = 4096  # of a connection that has not said what it is
+NACK = b"NACK" + END  # the last word to who is not joined
+FIRST_BYTES = 4096  # of a connection that has not said what it is, in all
 MOST_BYTES = 1 << 20  # of a message
 FIGURE = re.compile(r"[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]{1,3})?|\.[0-9]+")
 WHOLE = re.compile(r"[0-9]{1,18}")
@@ -31,6 +32,7 @@
 
     def __init__(self) -> None:
         self.held, self.limit, self.overrun = bytearray(), FIRST_BYTES, False
+        self.taken = 0  # bytes of the lines so far
 
     def feed(self, data: bytes) -> Iterator[bytes]:
         self.held += data
@@ -41,6 +43,7 @@
             line = bytes(self.held[:end])
             del self.held[:end + len(END)]
             searched = 0
+            self.taken += len(line) + len(END)
             yield line
         self.overrun = len(self.held) > self.limit
 
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -22,7 +22,7 @@
 from stackwheel.wire.discovery import Discovery, Move
 from stackwheel.wire.http import split_address
 from stackwheel.wire.lines import Encoder
-from stackwheel.wire.peer import Pace, Peer
+from stackwheel.wire.peer import Pace, Peer, Waiting
 from stackwheel.wire.probes import UNREACHABLE, probe
 
 
@@ -34,6 +34,7 @@
     peers: tuple[str, ...]
     peers_all: str
     sockets: int
+    memory_mb: float
 
 
 class Links:
@@ -48,10 +49,11 @@
                                    lambda item: self.post(item))
         self.datagrams = Datagrams(addresses.peers, addresses.peers_all, settings.planner,
                                    lambda item: self.post(item))
-        self.strangers: dict[Peer, None] = {}  # the longest silent first
+        self.strangers: dict[Peer, None] = {}  # the first to come first
         self.arriving = 0  # connections taken, but not attended yet
-        self.collectors: dict[int, Peer] = {}  # the newest of each zone; older ones are still heard
-        self.strangers_most = timing.strangers_most(addresses.sockets, settings.proxies, settings.zones)
+        self.peers: set[Peer] = set()  # all connections that are attended
+        self.collectors: dict[int, list[Peer]] = {}  # of each zone; the older ones are heard too
+        self.waiting = Waiting(timing.waiting_most(addresses.memory_mb))
         self.post: Callable[[Item], None] = lambda item: None
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -64,6 +66,7 @@
                                                 local_addr=split_address(self.addresses.peer_listen))
         self.keep(self.discovery.run())
         listener = socket.create_server(split_address(self.addresses.listen), backlog=timing.LISTEN_BACKLOG)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, timing.RECEIVE_BUFFER)
         listener.setblocking(False)
         self.keep(self.listen(listener))
         self.keep(self.sweep())
@@ -71,8 +74,7 @@
     def readdress(self, addresses: Addresses) -> None:
         """Go on with other addresses and limits."""
         self.addresses = addresses
-        self.strangers_most = timing.strangers_most(addresses.sockets, self.settings.proxies,
-                                                    self.settings.zones)
+        self.waiting.most = timing.waiting_most(addresses.memory_mb)
         self.datagrams.readdress(addresses.peers, addresses.peers_all)
         self.discovery.mailbox.put_nowait(Move(addresses.discovery))
 
@@ -95,55 +97,79 @@
         while True:
             while self.arriving >= timing.ACCEPT_BURST:
                 await asyncio.sleep(0)
+            while self.full() and not self.make_room():
+                await asyncio.sleep(timing.YOUNG / 5000.0)
             try:
                 connection, _ = await loop.sock_accept(listener)
             except OSError as error:
                 logger.warning("connection not accepted: {}", error)
-                if self.strangers:
-                    self.drop(next(iter(self.strangers)), "no descriptor is left")
+                self.make_room()
                 await asyncio.sleep(timing.ACCEPT_AGAIN / 1000.0)
                 continue
             self.arriving += 1
             self.keep(self.attend(connection))
 
+    def full(self) -> bool:
+        return self.arriving + len(self.peers) >= max(1, self.addresses.sockets - timing.KEPT_SOCKETS)
+
+    def make_room(self) -> bool:
+        """Close the stranger that came first, unless its first bytes may be unread; else who went quiet."""
+        now = asyncio.get_running_loop().time()
+        if (first := next(iter(self.strangers), None)) is not None:
+            if first.since > now - timing.YOUNG / 1000.0:
+                return False
+            self.drop(first, "as no descriptor is left")
+            return True
+        quiet = min(self.peers, key=lambda peer: peer.heard_at, default=None)
+        if quiet is None or quiet.ended or quiet.heard_at > now - timing.QUIET / 1000.0:
+            return False
+        quiet.end("as no descriptor is left and it says nothing")
+        return True
+
     async def attend(self, connection: socket.socket) -> None:
         try:
             reader, writer = await asyncio.open_connection(sock=connection, limit=timing.READ_BYTES)
         finally:
             self.arriving -= 1
         peer = Peer(reader, writer, self.names, self.settings.proxies, self.post, self.known,
-                    Pace(self.settings.message_cap, self.settings.message_window + timing.JITTER))
+                    Pace(self.settings.message_cap, self.settings.message_window + timing.JITTER),
+                    self.waiting)
+        self.peers.add(peer)
         self.known(peer, False)
         try:
             await peer.run()
         finally:
+            self.peers.discard(peer)
             self.strangers.pop(peer, None)
-            if peer.zone is not None and self.collectors.get(peer.zone) is peer:
-                del self.collectors[peer.zone]
+            if peer.zone is not None:
+                self.collectors[peer.zone].remove(peer)
 
     def known(self, peer: Peer, known: bool) -> None:
-        """Keep who has not said what it is apart, and no more of them than leave room for proxies."""
+        """Keep who has not said what it is apart; of a zone's collectors the longest silent goes."""
         self.strangers.pop(peer, None)
-        if known and peer.zone is not None:
-            old, self.collectors[peer.zone] = self.collectors.get(peer.zone), peer
-            if old not in (None, peer):
-                old.superseded()
         if not known:
             self.strangers[peer] = None
-            if len(self.strangers) > self.strangers_most:
-                self.drop(next(iter(self.strangers)), "too many connections that say nothing")
+        elif peer.zone is not None:
+            others = [other for other in self.collectors.get(peer.zone, []) if other is not peer]
+            self.collectors[peer.zone] = [*others, peer]
+            if len(others) >= timing.COLLECTORS_MOST:
+                min(others, key=lambda other: other.heard_at).end("as its zone has newer collectors")
 
     def drop(self, peer: Peer, why: str) -> None:
-        logger.warning("{}: closed: {}", peer, why)
         self.strangers.pop(peer, None)
-        peer.writer.transport.abort()
+        peer.end(why)
 
     async def sweep(self) -> None:
+        """A stranger has one deadline from its coming, whatever it says; what lies ready still counts."""
+        loop = asyncio.get_running_loop()
         while True:
+            due = loop.time() + timing.SWEEP / 1000.0
             await asyncio.sleep(timing.SWEEP / 1000.0)
-            until = asyncio.get_running_loop().time() - timing.STRANGER / 1000.0
-            for peer in [peer for peer in self.strangers if peer.heard_at < until]:
-                self.drop(peer, f"says nothing for {timing.STRANGER / 1000.0:g} s")
+            if loop.time() > due + timing.GRACE / 1000.0:  # this process stood still
+                await asyncio.sleep(timing.GRACE / 1000.0)
+            until = loop.time() - timing.STRANGER / 1000.0
+            for peer in [peer for peer in self.strangers if peer.since < until]:
+                self.drop(peer, f"as it has not said what it is for {timing.STRANGER / 1000.0:g} s")
 
     def deliver(self, messages: Sequence[tuple[Line, Message]]) -> None:
         encoded = self.encoder.encode([message for _, message in messages])
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -14,7 +14,7 @@
 from stackwheel.state.module import Ended, Item, Said
 from stackwheel.state.streams import Stream
 from stackwheel.wire import timing
-from stackwheel.wire.lines import FIRST_BYTES, MOST_BYTES, PONG, Splitter, decode
+from stackwheel.wire.lines import FIRST_BYTES, MOST_BYTES, NACK, PONG, Splitter, decode
 from stackwheel.wire.values import (
     Ack,
     Join,
@@ -46,20 +46,39 @@
             self.written.append(now)
 
 
+class Waiting:
+    """Bytes that wait in the half lines and mailboxes of all peers: bounded together, the largest goes."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.total = most, 0
+        self.held: dict[Peer, int] = {}
+
+    def account(self, peer: Peer, count: int) -> None:
+        self.total += count - self.held.pop(peer, 0)
+        if count:
+            self.held[peer] = count
+        while self.total > self.most:
+            worst = max(self.held, key=lambda other: self.held[other])
+            self.total -= self.held.pop(worst)
+            worst.end(f"as most of {self.most} bytes that may wait are its own")
+
+
 class Peer:
     """A proxy's stream, a collector, or somebody who has not said yet."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, names: Names, proxies: int,
-                 post: Callable[[Item], None], known: Callable[[Peer, bool], None], pace: Pace) -> None:
+                 post: Callable[[Item], None], known: Callable[[Peer, bool], None], pace: Pace,
+                 waiting: Waiting) -> None:
         self.reader, self.writer, self.names, self.proxies = reader, writer, names, proxies
-        self.post, self.pace = post, pace
+        self.post, self.pace, self.waiting = post, pace, waiting
         self.known = known  # told when the peer says what it is, and when it is nobody again
         self.proxy: int | None = None
         self.zone: int | None = None  # of a collector
-        self.heard_at = asyncio.get_running_loop().time()
+        self.since = self.heard_at = asyncio.get_running_loop().time()  # it is what it is; it last spoke
         self.splitter = Splitter()
         self.heard = 0  # messages
         self.unsent = 0  # bytes in the mailbox
+        self.ended = False  # by us
         self.mailbox: asyncio.Queue[bytes] = asyncio.Queue()
         host, port = (writer.get_extra_info("peername") or ("?", 0))[:2]
         self.address = f"{host}:{port}"
@@ -79,6 +98,8 @@
         finally:
             writing.cancel()
             self.writer.transport.abort()
+            self.ended = True
+            self.waiting.account(self, 0)
             if self.proxy is not None:
                 self.post(Ended(self.proxy, self))
 
@@ -89,16 +110,37 @@
                 self.heard += 1
                 message = decode(line, self.names)
                 refused = message if isinstance(message, Unreadable) else self.take(message)
+                if self.stranger and refused is None and self.splitter.taken > FIRST_BYTES:
+                    refused = Unreadable(f"over {FIRST_BYTES} bytes and no word of what it is")
                 if refused is not None:
-                    logger.warning("{}: closed at message {}: {}", self, self.heard, refused.reason)
+                    self.end(f"at message {self.heard}: {refused.reason}")
                     return
             if self.splitter.overrun:
-                limit = self.splitter.limit
-                logger.warning("{}: closed after message {}: a line over {} bytes", self, self.heard, limit)
+                self.end(f"after message {self.heard}: a line over {self.splitter.limit} bytes")
+            self.account()
+            if self.ended:
                 return
-        if held := len(self.splitter.held):
+        if (held := len(self.splitter.held)) and not self.ended:
             logger.warning("{}: ended inside a line, {} bytes after message {}", self, held, self.heard)
 
+    @property
+    def stranger(self) -> bool:
+        return self.proxy is None and self.zone is None
+
+    def account(self) -> None:
+        if not self.ended:
+            self.waiting.account(self, len(self.splitter.held) + self.unsent)
+
+    def end(self, why: str) -> None:
+        """Close, at once and whatever it still leaves unread; who is not joined hears so."""
+        if self.ended:
+            return
+        logger.warning("{}: closed {}", self, why)
+        if self.stranger:
+            self.writer.write(NACK)
+        self.ended = True
+        self.writer.transport.abort()
+
     def take(self, message: Message) -> Unreadable | None:
         """Pass a message on; the reason if it has no place here."""
         match message:
@@ -131,21 +173,23 @@
 
     def introduced(self) -> None:
         self.splitter.limit = MOST_BYTES
+        self.since = asyncio.get_running_loop().time()
         self.known(self, True)
 
     def superseded(self) -> None:
-        """Another connection speaks for its proxy or zone now: this one is nobody's, and may end."""
+        """Another connection speaks for its proxy now: this one is nobody's, and may end."""
         self.splitter.limit = FIRST_BYTES
+        self.since = asyncio.get_running_loop().time()
         self.known(self, False)
 
     def send(self, data: bytes) -> None:
         """Never waits; who leaves too much unread is cut off, so that what waits is bounded."""
         self.unsent += len(data)
         if self.unsent > timing.UNSENT_MOST:
-            logger.warning("{}: closed: leaves {} bytes unread", self, self.unsent)
-            self.writer.transport.abort()
+            self.end(f"as it leaves {self.unsent} bytes unread")
             return
         self.mailbox.put_nowait(data)
+        self.account()
 
     async def write(self) -> None:
         try:
@@ -159,5 +203,6 @@
                 self.writer.write(data)
                 await self.writer.drain()
                 self.unsent -= len(data)
+                self.account()
         except OSError:
             return  # the reader sees the end too, and tells
--- a/stackwheel/wire/timing.py
+++ b/stackwheel/wire/timing.py
@@ -8,15 +8,19 @@
 DIAL = 0.5 * BEAT  # a machine that is cut off gives no sign
 GRACE = 50.0  # for bytes that lie ready when a time is up: this process may itself have stood still
 PROBE = 0.25 * BEAT  # over the time within which a server answers a probe or turns it away
-STRANGER = 30_000.0  # a connection that has not said what it is, since it last spoke
-SWEEP = 1000.0  # how often strangers are looked through
+STRANGER = 1500.0  # to say what it is, from accepting; due are 3 s from connecting, 1 s must pass
+SWEEP = 250.0  # how often strangers are looked through
+QUIET = 10_000.0  # a joined peer says something each report cycle; one so quiet goes before a new one waits
+YOUNG = 50.0  # what came along with a connection has been read by then
 UNSENT_MOST = 256 * 1024  # bytes a peer may leave unread; the protocol's own limit towards us is half of it
 READ_BYTES = 64 * 1024
+RECEIVE_BUFFER = 32 * 1024  # in the kernel, of a connection: so much of a flood waits here at once
+COLLECTORS_MOST = 2  # of a zone: a new one comes before the old one is seen to end
 BODY_MOST = 16 << 20  # bytes of an answer or of one line of a watch
 ACCEPT_AGAIN = 10.0  # after a connection that could not be accepted
 ACCEPT_BURST = 64  # connections set up at once
 LISTEN_BACKLOG = 1024  # connections that wait to be accepted: every proxy may come at once
-KEPT_SOCKETS = 64  # descriptors kept back besides those of proxies and collectors: list, probes, log, loop
+KEPT_SOCKETS = 32  # descriptors kept back for list, datagrams, log and loop; some 15 are used
 JITTER = 50.0  # by which batches come earlier or later than the cycle says, and writes after them
 SILENT_CYCLES = 4  # of reports: a proxy with requests says something each cycle
 
@@ -26,6 +30,6 @@
     return SILENT_CYCLES * cycle + full_queue + 2 * transit
 
 
-def strangers_most(sockets: int, proxies: int, zones: int) -> int:
-    """Connections that may say nothing: never so many that a proxy finds no descriptor."""
-    return max(16, (sockets - 2 * (proxies + zones) - KEPT_SOCKETS) // 2)
+def waiting_most(memory_mb: float) -> int:
+    """Bytes that may wait in half lines and mailboxes of all peers; the program itself takes 17 MB."""
+    return int(memory_mb * (1 << 20)) // 4
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,10 +1,12 @@
 """The listener in a process of the test's own: joins that come together, collectors, probes."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import pytest
 from standins import config, toy
 
 from stackwheel import interface as face
@@ -18,8 +20,10 @@
 
 
 class Setup:
-    def __init__(self, address: str = "127.0.0.1:1") -> None:
-        found = read_config(config("127.0.0.1:1"))
+    def __init__(self, address: str = "127.0.0.1:1", proxies: int = 8, **limits: float) -> None:
+        told = config("127.0.0.1:1", limits=limits)
+        told["settings"]["family_info"]["agents"] = proxies
+        found = read_config(told)
         roster = Roster(found.names.zones, found.names.kinds, Ids())
         roster.apply(Listing(1, True, (
             Instance("s-0", address, "east", "small", 0, face.Availability.READY, 1.0, 0.0),)))
@@ -68,7 +72,7 @@
         await setup.open()
         crowd = [setup.connect(b"") for _ in range(40)]
         most = 0
-        while len(setup.links.strangers) < min(40, setup.links.strangers_most):
+        while len(setup.links.strangers) < 40:
             most = max(most, setup.links.arriving)
             await asyncio.sleep(0)
         assert 1 <= most <= 3
@@ -88,10 +92,144 @@
         first.sendall(report)
         await until(lambda: len(setup.posted) == 3)
         assert set(setup.posted) == {face.ServerReport(0, digest("s-0"), 2, 0, 5.0, 1000.0)}
-        assert len(setup.links.strangers) == 1 and len(setup.links.collectors) == 1
+        assert not setup.links.strangers and len(setup.links.collectors[0]) == 2
+        third = setup.connect(b"SOURCE site=east\r\n" + report)
+        await until(lambda: len(setup.posted) == 4)
+        second.setblocking(False)
+        assert await asyncio.get_running_loop().sock_recv(second, 10) == b""  # the longest silent
         first.close()
-        second.close()
-        await until(lambda: not setup.links.strangers and not setup.links.collectors)
+        third.close()
+        await until(lambda: not setup.links.collectors[0] and not setup.links.peers)
+
+    run(work())
+
+
+async def said(connection: socket.socket) -> bytes:
+    """All that a connection brings until it ends."""
+    connection.setblocking(False)
+    found = b""
+    try:
+        while data := await asyncio.get_running_loop().sock_recv(connection, 65536):
+            found += data
+    except ConnectionError:
+        pass
+    return found
+
+
+async def drip(connection: socket.socket, data: bytes) -> None:
+    with contextlib.suppress(OSError):
+        while True:
+            connection.sendall(data)
+            await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("data", [b"", b"SUBSC", b"PING\r\n", b"x"])
+def test_one_deadline_from_accepting_however_much_is_said(monkeypatch: Any, data: bytes) -> None:
+    """A sign of life gets its answer and no more time; a drip gets none either."""
+    async def work() -> None:
+        monkeypatch.setattr("stackwheel.wire.timing.STRANGER", 150.0)
+        monkeypatch.setattr("stackwheel.wire.timing.SWEEP", 10.0)
+        setup = Setup()
+        await setup.open()
+        joined = setup.connect(b"SUBSCRIBE id=1 site=east rps=1 new=1\r\n")
+        stranger = setup.connect(data)
+        dripping = asyncio.create_task(drip(stranger, data))
+        heard = await said(stranger)
+        dripping.cancel()
+        assert heard.endswith(b"NACK\r\n")
+        assert heard.startswith(b"PONG\r\n") == (data == b"PING\r\n")
+        await until(lambda: len(setup.links.peers) == 1)
+        assert len(setup.posted) == 1 and not setup.links.strangers
+        joined.close()
+
+    run(work())
+
+
+@pytest.mark.parametrize("data", [
+    b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", b"CONFIG routes=read full=1\r\n", b"\x16\x03\x01\r\n",
+    b"SUBSCRIBE id=8 site=east rps=1 new=1\r\n", b"SUBSCRIBE id=1 site=north rps=1 new=1\r\n",
+    b"SOURCE site=north\r\n", b"RATE id=1 lane=read count=1 fail=0 over=1000.0\r\n", b"x" * 5000,
+    b"LOAD site=east target=s-0 count=2 fail=0 mean=5 over=1000.0\r\n", b"ACK id=1 seq=1 ms=1\r\n",
+    b"PING\r\n" * 1000,
+])
+def test_who_cannot_be_taken_hears_so_at_once(data: bytes) -> None:
+    async def work() -> None:
+        setup = Setup()
+        await setup.open()
+        heard = await said(setup.connect(data))
+        assert heard.endswith(b"NACK\r\n") or len(data) > 4096  # what is unread at a close may undo the word
+        assert not setup.posted
+
+    run(work())
+
+
+def test_who_is_cut_off_is_not_waited_for() -> None:
+    """It reads nothing, so that nothing can be said to it; it is closed all the same."""
+    async def work() -> None:
+        setup = Setup()
+        await setup.open()
+        deaf = setup.connect(b"PING\r\n" * 600 + b"what?\r\n")
+        await until(lambda: bool(setup.links.peers))
+        await until(lambda: not setup.links.peers)
+        deaf.close()
+
+    run(work())
+
+
+def test_proxies_that_come_with_a_crowd_all_join() -> None:
+    """At a bare limit of descriptors: once, proxies were closed as strangers before their word was read."""
+    async def work() -> None:
+        setup = Setup(proxies=40, sockets=32 + 60)
+        await setup.open()
+        crowd = [setup.connect(b"") for _ in range(100)]
+        proxies = [setup.connect(f"SUBSCRIBE id={n} site=east rps=1 new=1\r\n".encode()) for n in range(40)]
+        most = 0
+        while len(setup.posted) < 40:
+            most = max(most, len(setup.links.peers))
+            await asyncio.sleep(0)
+        assert [type(item) for item in setup.posted] == [Stream] * 40 and most <= 60
+        late = setup.connect(b"PING\r\n")
+        assert await asyncio.get_running_loop().run_in_executor(None, late.recv, 6) == b"PONG\r\n"
+        for connection in [*crowd, *proxies, late]:
+            connection.close()
+
+    run(work())
+
+
+def test_without_strangers_the_quiet_make_room(monkeypatch: Any) -> None:
+    async def work() -> None:
+        monkeypatch.setattr("stackwheel.wire.timing.QUIET", 50.0)
+        setup = Setup(sockets=32 + 2)
+        await setup.open()
+        proxies = [setup.connect(f"SUBSCRIBE id={n} site=east rps=1 new=1\r\n".encode()) for n in range(2)]
+        await until(lambda: len(setup.posted) == 2)
+        proxies.append(setup.connect(b"SUBSCRIBE id=2 site=east rps=1 new=1\r\n"))
+        await until(lambda: any(isinstance(item, Stream) and item.proxy == 2 for item in setup.posted))
+        for proxy in proxies:
+            proxy.close()
+
+    run(work())
+
+
+def test_what_waits_is_bounded_for_all_together() -> None:
+    """Half lines of a whole fleet: the largest goes, the others stay."""
+    async def work() -> None:
+        setup = Setup(memory_mb=4)
+        await setup.open()
+        proxies = [setup.connect(f"SUBSCRIBE id={n} site=east rps=1 new=1\r\n".encode()) for n in range(3)]
+        await until(lambda: len(setup.posted) == 3)
+        loop = asyncio.get_running_loop()
+        for place, proxy in enumerate(proxies):
+            proxy.setblocking(False)
+            await loop.sock_sendall(proxy, b"RATE " + b"x" * (200_000, 300_000, 700_000)[place])
+        assert await said(proxies[2]) == b""
+        await until(lambda: len(setup.links.peers) == 2)
+        assert setup.links.waiting.total <= 1 << 20
+        await loop.sock_sendall(proxies[0], b"\r\n")
+        for proxy in proxies:
+            proxy.close()
+        await until(lambda: not setup.links.peers)
+        assert setup.links.waiting.total == 0 and not setup.links.waiting.held
 
     run(work())
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -150,7 +150,7 @@
 def test_who_does_not_read_is_cut_off_and_delays_nobody(tmp_path: Path) -> None:
     async def work() -> None:
         async with running(tmp_path) as planner:
-            deaf = await planner.connect()
+            deaf = (await planner.join(1)).connection
             deaf.writer.write(b"PING\r\n" * 2_000_000)  # and never reads the answers
             proxy = await planner.join(0)
             await proxy.until(full(set(planner.discovery.instances)))
