Leave a spoilt message out whole and keep its connection; no message at all ends it

So words that are not name=value, each name once, tell the two apart. Ruled out: that 1e+30 was refused everywhere; as mean, over and ms it was read, and an over of 1e+30 set a server's rate to 0. At fault: wire/peer.py read ended the connection at any Unreadable; wire/lines.py made no difference between the two.

--- a/stackwheel/state/module.py
+++ b/stackwheel/state/module.py
@@ -35,7 +35,8 @@
 class Said:
     """What a proxy said over its stream; it counts only while that stream carries the proxy."""
 
-    event: face.Acknowledged | face.DemandReport
+    proxy: int
+    event: face.Acknowledged | face.DemandReport | None  # None: what can't be used, but it lives
     line: Line
 
 
@@ -122,8 +123,8 @@
                 return self.streams.join(item)
             case Ended(proxy, line):
                 return self.streams.leave(proxy, line)
-            case Said(event, line):
-                news = self.streams.heard(event.proxy, line)
+            case Said(proxy, event, line):
+                news = self.streams.heard(proxy, line)
                 return [] if news is None else [*news, *self.current(event)]
             case Listing():
                 return [self.roster.apply(item)]
@@ -135,10 +136,14 @@
                 return [item]
         return []
 
-    def current(self, event: face.Acknowledged | face.DemandReport) -> Iterable[Event]:
-        """What a proxy said, unless it answers a mark of an earlier policy."""
-        if isinstance(event, face.DemandReport):
-            return [event]
+    def current(self, event: face.Acknowledged | face.DemandReport | None) -> Iterable[Event]:
+        """What a proxy said, unless it answers a mark of an earlier policy, or what can't be."""
+        if not isinstance(event, face.Acknowledged):
+            return [] if event is None else [event]
+        if not self.streams.answered(event.proxy, event.mark, event.elapsed, self.clock.now()):
+            logger.warning("proxy {}: answer to mark {} after {:g} ms left out: no such mark went out then",
+                           event.proxy, event.mark, event.elapsed)
+            return []
         own = self.orders.own_mark(event.mark)
         return [] if own is None else [face.Acknowledged(event.proxy, own, event.elapsed)]
 
@@ -153,8 +158,10 @@
         messages = self.orders.take(actions)
         lines = self.streams.by_proxy
         self.outside.deliver([(lines[m.proxy].line, m) for m in messages])
-        for message in [m for m in messages if m.mark is not None]:
-            self.streams.asked(message.proxy, self.clock.now())
+        now = self.clock.now()
+        for message in messages:
+            if message.mark is not None:
+                self.streams.asked(message.proxy, message.mark, now)
         for action in actions:
             match action:
                 case face.SetTimer(delay, token):
--- a/stackwheel/state/streams.py
+++ b/stackwheel/state/streams.py
@@ -12,6 +12,9 @@
 from stackwheel import interface as face
 from stackwheel.interface import Event, Server
 
+MARKS_MOST = 64  # unanswered of a stream: more than go out before it counts as silent
+CLOCKS_APART = 1000.0  # ms: what a proxy measured may begin before our order was taken down
+
 
 class Line(Protocol):
     """The connection that a stream runs over, as the streams know it: only its identity counts."""
@@ -30,6 +33,7 @@
     bound: dict[int, int] = field(default_factory=dict)  # by class: its table
     shut: dict[Server, bool] = field(default_factory=dict)  # as ordered on this stream: out, or let back
     asked_at: float | None = None  # when the first mark went out that nothing has been heard since
+    marks: dict[int, float] = field(default_factory=dict)  # unanswered, the oldest first: when they went out
 
     def tables(self) -> set[int]:
         return set(self.bound.values())
@@ -82,10 +86,23 @@
             return self.join(Stream(proxy, quiet.zone, quiet.rate, False, line))
         return None
 
-    def asked(self, proxy: int, now: float) -> None:
+    def asked(self, proxy: int, mark: int, now: float) -> None:
         """A mark has gone out to it."""
         stream = self.by_proxy[proxy]
         stream.asked_at = now if stream.asked_at is None else stream.asked_at
+        stream.marks.pop(mark, None)
+        stream.marks[mark] = now
+        if len(stream.marks) > MARKS_MOST:
+            del stream.marks[next(iter(stream.marks))]
+
+    def answered(self, proxy: int, mark: int, elapsed: float, now: float) -> bool:
+        """Whether a mark went out so long ago; who answers it has applied those before as well."""
+        stream = self.by_proxy[proxy]
+        if mark not in stream.marks or elapsed > now - stream.marks[mark] + CLOCKS_APART:
+            return False
+        order = list(stream.marks)
+        stream.marks = {later: stream.marks[later] for later in order[order.index(mark) + 1:]}
+        return True
 
     def fall_silent(self, now: float) -> Iterable[Event]:
         late = now - self.silence
--- a/stackwheel/wire/lines.py
+++ b/stackwheel/wire/lines.py
@@ -11,7 +11,7 @@
 from stackwheel.state.ids import Ids
 from stackwheel.state.orders import Message as Order
 from stackwheel.state.orders import Part
-from stackwheel.wire.values import Ack, Join, Load, Message, Ping, Rate, Source, Unreadable
+from stackwheel.wire.values import Ack, Join, Load, Message, Ping, Rate, Source, Spoilt, Unreadable
 
 END = b"\r\n"
 PONG = b"PONG" + END
@@ -21,10 +21,17 @@
 FIGURE = re.compile(r"[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]{1,3})?|\.[0-9]+")
 WHOLE = re.compile(r"[0-9]{1,18}")
 DIGITS = 6  # of a weight or level
+COUNT_MOST = (1 << 32) - 1  # of requests in one report, and of a figure in a load report
+TIME_MOST = 86_400_000.0  # ms, a day: no span, answer or delay is as long
+NO_TEXT = re.compile(rb"[\x00-\x1f\x7f]")  # in a message
 
 
 class FieldError(ValueError):
-    """A field that is missing or says nothing."""
+    """A field that is missing, says nothing, or says what can't be."""
+
+
+class GrammarError(ValueError):
+    """Words that are not all name=value, each name once: messages that ran into each other look so."""
 
 
 class Splitter:
@@ -57,7 +64,7 @@
         for word in words:
             name, equals, value = word.partition("=")
             if not equals or not name or name in self.values:
-                raise FieldError(f"word {word[:40]!r}")
+                raise GrammarError(f"word {word[:40]!r}")
             self.values[name] = value
 
     def text(self, name: str) -> str:
@@ -65,12 +72,19 @@
             raise FieldError(f"no {name}")
         return self.values[name]
 
-    def figure(self, name: str) -> float:
-        return read_figure(name, self.text(name))
+    def time(self, name: str) -> float:
+        return read_figure(name, self.text(name), TIME_MOST)
 
-    def whole(self, name: str) -> int:
+    def span(self, name: str) -> float:
+        """What a report is over: some time at least."""
+        value = self.time(name)
+        if value <= 0:
+            raise FieldError(f"{name}={value:g}")
+        return value
+
+    def whole(self, name: str, most: int = COUNT_MOST) -> int:
         text = self.text(name)
-        if not WHOLE.fullmatch(text):
+        if not WHOLE.fullmatch(text) or int(text) > most:
             raise FieldError(f"{name}={text[:40]!r}")
         return int(text)
 
@@ -96,25 +110,30 @@
     return tuple((COLUMNS.get(column, column), read_figure(column, value)) for column, _, value in pairs)
 
 
-def read_figure(name: str, text: str) -> float:
-    if not FIGURE.fullmatch(text) or not math.isfinite(float(text)):
+def read_figure(name: str, text: str, most: float = COUNT_MOST) -> float:
+    if not FIGURE.fullmatch(text) or not float(text) <= most:
         raise FieldError(f"{name}={text[:40]!r}")
     return float(text)
 
 
+def read_report(f: Fields) -> Load:
+    tries = f.whole("count")
+    return Load(f.zone(), f.text("target"), tries, f.whole("fail", tries), f.time("mean"), f.span("over"),
+                read_load(f.values.get("util", ""), ":"))
+
+
 READERS: dict[str, Callable[[Fields], Message]] = {
     "PING": lambda f: Ping(),
     "SOURCE": lambda f: Source(f.zone()),
-    "LOAD": lambda f: Load(f.zone(), f.text("target"), f.whole("count"), f.whole("fail"), f.figure("mean"),
-                           f.figure("over"), read_load(f.values.get("util", ""), ":")),
+    "LOAD": read_report,
     "RATE": lambda f: Rate(f.whole("id"), f.place("lane", f.names.classes), f.whole("count"),
-                           f.whole("fail"), f.figure("over")),
-    "SUBSCRIBE": lambda f: Join(f.whole("id"), f.zone(), f.figure("rps"), f.flag("new")),
-    "ACK": lambda f: Ack(f.whole("id"), f.whole("seq"), f.figure("ms")),
+                           f.whole("fail"), f.span("over")),
+    "SUBSCRIBE": lambda f: Join(f.whole("id"), f.zone(), read_figure("rps", f.text("rps")), f.flag("new")),
+    "ACK": lambda f: Ack(f.whole("id"), f.whole("seq"), f.time("ms")),
 }
 
 
-def decode(line: bytes, names: Names) -> Message | Unreadable:
+def decode(line: bytes, names: Names) -> Message | Spoilt | Unreadable:
     try:
         kind, *words = line.decode("utf-8").split(" ")
     except UnicodeDecodeError as error:
@@ -123,8 +142,21 @@
         return Unreadable(f"unknown kind {kind[:40]!r}")
     try:
         return READERS[kind](Fields([word for word in words if word], names))
-    except FieldError as error:
+    except GrammarError as error:
         return Unreadable(f"{kind}: {error}")
+    except FieldError as error:
+        return Spoilt(f"{kind}: {error}")
+
+
+def begun(held: bytes) -> Unreadable | None:
+    """Whether the start of a line may become a message; who sends no end of it is not waited for."""
+    kind, space, _ = held[:64].removesuffix(b"\r").partition(b" ")
+    known = [name.encode() for name in READERS]
+    if kind not in known if space else not any(name.startswith(kind) for name in known):
+        return Unreadable(f"unknown kind {kind[:40].decode(errors='replace')!r}")
+    if found := NO_TEXT.search(held, 0, len(held) - held.endswith(b"\r")):
+        return Unreadable(f"no text at byte {found.start()}")
+    return None
 
 
 def number(value: float) -> str:
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -133,7 +133,7 @@
             self.arriving -= 1
         peer = Peer(reader, writer, self.names, self.settings.proxies, self.post, self.known,
                     Pace(self.settings.message_cap, self.settings.message_window + timing.JITTER),
-                    self.waiting)
+                    self.waiting, lambda server: self.roster.ids.name(server) is not None)
         self.peers.add(peer)
         self.known(peer, False)
         try:
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -14,7 +14,7 @@
 from stackwheel.state.module import Ended, Item, Said
 from stackwheel.state.streams import Stream
 from stackwheel.wire import timing
-from stackwheel.wire.lines import FIRST_BYTES, MOST_BYTES, NACK, PONG, Splitter, decode
+from stackwheel.wire.lines import FIRST_BYTES, MOST_BYTES, NACK, PONG, Splitter, begun, decode
 from stackwheel.wire.values import (
     Ack,
     Join,
@@ -23,6 +23,7 @@
     Ping,
     Rate,
     Source,
+    Spoilt,
     Unreadable,
     columns_in_order,
 )
@@ -68,15 +69,17 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, names: Names, proxies: int,
                  post: Callable[[Item], None], known: Callable[[Peer, bool], None], pace: Pace,
-                 waiting: Waiting) -> None:
+                 waiting: Waiting, listed: Callable[[face.Server], bool]) -> None:
         self.reader, self.writer, self.names, self.proxies = reader, writer, names, proxies
         self.post, self.pace, self.waiting = post, pace, waiting
+        self.listed = listed  # whether a server is known
         self.known = known  # told when the peer says what it is, and when it is nobody again
         self.proxy: int | None = None
         self.zone: int | None = None  # of a collector
         self.since = self.heard_at = asyncio.get_running_loop().time()  # it is what it is; it last spoke
         self.splitter = Splitter()
         self.heard = 0  # messages
+        self.left_out = 0  # of them, as they could not be used
         self.unsent = 0  # bytes in the mailbox
         self.ended = False  # by us
         self.mailbox: asyncio.Queue[bytes] = asyncio.Queue()
@@ -108,21 +111,36 @@
             self.heard_at = asyncio.get_running_loop().time()
             for line in self.splitter.feed(data):
                 self.heard += 1
-                message = decode(line, self.names)
-                refused = message if isinstance(message, Unreadable) else self.take(message)
-                if self.stranger and refused is None and self.splitter.taken > FIRST_BYTES:
-                    refused = Unreadable(f"over {FIRST_BYTES} bytes and no word of what it is")
-                if refused is not None:
+                if (refused := self.hear(decode(line, self.names))) is not None:
                     self.end(f"at message {self.heard}: {refused.reason}")
                     return
             if self.splitter.overrun:
                 self.end(f"after message {self.heard}: a line over {self.splitter.limit} bytes")
+            elif self.splitter.held and (refused := begun(bytes(self.splitter.held))) is not None:
+                self.end(f"after message {self.heard}: {refused.reason}")
             self.account()
             if self.ended:
                 return
         if (held := len(self.splitter.held)) and not self.ended:
             logger.warning("{}: ended inside a line, {} bytes after message {}", self, held, self.heard)
 
+    def hear(self, message: Message | Spoilt | Unreadable) -> Unreadable | None:
+        """Take one message; the reason if the connection can't go on."""
+        if isinstance(message, Unreadable):
+            return message
+        said = message if isinstance(message, Spoilt) else self.take(message)
+        if self.stranger:
+            if said is None and self.splitter.taken > FIRST_BYTES:
+                return Unreadable(f"over {FIRST_BYTES} bytes and no word of what it is")
+            return None if said is None else Unreadable(said.reason)
+        if said is not None:
+            self.left_out += 1
+            logger.warning("{}: message {} left out, its {}. so far: {}", self, self.heard, self.left_out,
+                           said.reason)
+            if self.proxy is not None:
+                self.post(Said(self.proxy, None, self))
+        return None
+
     @property
     def stranger(self) -> bool:
         return self.proxy is None and self.zone is None
@@ -141,34 +159,37 @@
         self.ended = True
         self.writer.transport.abort()
 
-    def take(self, message: Message) -> Unreadable | None:
+    def take(self, message: Message) -> Spoilt | None:
         """Pass a message on; the reason if it has no place here."""
         match message:
             case Ping():
                 self.send(PONG)
-            case Source() if self.proxy is None:
-                self.zone = message.zone
-                self.introduced()
+            case Source() if self.proxy is None and self.zone in (None, message.zone):
+                if self.zone is None:
+                    self.zone = message.zone
+                    self.introduced()
             case Load(zone, target, count, failed, mean, over, load) if self.zone is not None:
+                server = digest(target)
+                if not self.listed(server):
+                    return Spoilt(f"LOAD: unknown target={target[:40]!r}")
                 values = columns_in_order(load, self.names.columns)
-                self.post(face.ServerReport(zone, digest(target), count, failed, mean, over, values))
-            case Rate(proxy, place, count, failed, over) if self.zone is not None:
+                self.post(face.ServerReport(zone, server, count, failed, mean, over, values))
+            case Rate(proxy, place, count, failed, over) if self.zone is not None and proxy < self.proxies:
                 self.post(face.DemandReport(proxy, place, count, failed, over))
             case Rate(proxy, place, count, failed, over) if self.proxy == proxy:
-                self.post(Said(face.DemandReport(proxy, place, count, failed, over), self))
+                self.post(Said(proxy, face.DemandReport(proxy, place, count, failed, over), self))
             case Ack(proxy, mark, elapsed) if self.proxy == proxy:
-                self.post(Said(face.Acknowledged(proxy, mark, elapsed), self))
-            case Rate() | Ack() if self.proxy is not None:
-                other = message.proxy
-                logger.warning("{}: message {} speaks for proxy {}; left out", self, self.heard, other)
+                self.post(Said(proxy, face.Acknowledged(proxy, mark, elapsed), self))
+            case Rate() | Ack() if not self.stranger:
+                return Spoilt(f"{type(message).__name__} speaks for proxy {message.proxy}")
             case Join(proxy, zone, rate, fresh) if self.zone is None and self.proxy in (None, proxy):
                 if proxy >= self.proxies:
-                    return Unreadable(f"proxy {proxy} of {self.proxies}")
+                    return Spoilt(f"proxy {proxy} of {self.proxies}")
                 self.proxy = proxy
                 self.introduced()
                 self.post(Stream(proxy, zone, rate, fresh, self))
             case _:
-                return Unreadable(f"{type(message).__name__} is out of place here")
+                return Spoilt(f"{type(message).__name__} is out of place here")
         return None
 
     def introduced(self) -> None:
--- a/stackwheel/wire/values.py
+++ b/stackwheel/wire/values.py
@@ -61,9 +61,16 @@
 Message: TypeAlias = Ping | Source | Load | Rate | Join | Ack
 
 
+@dataclass(frozen=True, slots=True)
+class Spoilt:
+    """A message of a known kind that can't be used, and why: it is left out whole, those around it count."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Unreadable:
-    """A line that says nothing, and where in it that showed."""
+    """Bytes that are no message, and where that showed: nothing that follows can be trusted."""
 
     reason: str
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -13,7 +13,7 @@
 from stackwheel.service.config import read_config
 from stackwheel.state.clock import Clock
 from stackwheel.state.ids import Ids, digest
-from stackwheel.state.module import Item
+from stackwheel.state.module import Ended, Item, Said
 from stackwheel.state.roster import Instance, Listing, Roster
 from stackwheel.state.streams import Stream
 from stackwheel.wire.links import Links
@@ -163,6 +163,45 @@
     run(work())
 
 
+def test_a_spoilt_report_is_left_out_whole_and_its_neighbours_count() -> None:
+    async def work() -> None:
+        setup = Setup()
+        await setup.open()
+        proxy = setup.connect(b"SUBSCRIBE id=1 site=east rps=1 new=1\r\nRATE id=1 lane=read count=-3 fail=0 over=1000\r\n"
+                              b"RATE id=2 lane=read count=3 fail=0 over=1000\r\nACK id=1 seq=nan ms=3\r\n"
+                              b"SUBSCRIBE id=1 site=north rps=1 new=1\r\nSOURCE site=east\r\n"
+                              b"RATE id=1 lane=read count=3 fail=0 over=1000\r\n")
+        await until(lambda: len(setup.posted) == 7)
+        assert isinstance(setup.posted[0], Stream)
+        assert [item.event for item in setup.posted[1:] if isinstance(item, Said)] == [
+            None, None, None, None, None, face.DemandReport(1, 0, 3, 0, 1000.0)]
+        collector = setup.connect(b"SOURCE site=west\r\nLOAD site=east target=s-9 count=2 fail=0 mean=5 over=1000\r\n"
+                                  b"LOAD site=east target=s-0 count=2 fail=3 mean=5 over=1000\r\n"
+                                  b"RATE id=99 lane=read count=3 fail=0 over=1000\r\n"
+                                  b"LOAD site=east target=s-0 count=2 fail=0 mean=5 over=1000\r\n")
+        await until(lambda: len(setup.posted) == 8)
+        assert setup.posted[7] == face.ServerReport(0, digest("s-0"), 2, 0, 5.0, 1000.0)
+        assert len(setup.links.peers) == 2
+        proxy.close()
+        collector.close()
+
+    run(work())
+
+
+@pytest.mark.parametrize("data", [b"RATE id=1 lane=readRATE id=1 lane=read count=3 fail=0 over=1000\r\n", b"\xff\xfe\r\n",
+                                  b"\x00\x01", b"what is this"])
+def test_a_stream_that_goes_on_with_no_messages_ends_and_counts_as_left(data: bytes) -> None:
+    """At once, though no end of a line may ever come."""
+    async def work() -> None:
+        setup = Setup()
+        await setup.open()
+        proxy = setup.connect(b"SUBSCRIBE id=1 site=east rps=1 new=1\r\n" + data)
+        assert await said(proxy) == b""
+        assert [type(item) for item in setup.posted] == [Stream, Ended]
+
+    run(work())
+
+
 def test_who_is_cut_off_is_not_waited_for() -> None:
     """It reads nothing, so that nothing can be said to it; it is closed all the same."""
     async def work() -> None:
