--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -94,7 +94,6 @@
 class ProxyView:
     zone: int
     demand: list[float]  # by class
-    written: list[float] = field(default_factory=list)  # when messages went out
     joined: float = 0.0
     bound: bool = False
 
@@ -107,6 +106,7 @@
         self.slowed, self.head = False, settings.overhead + 1.0  # with the mark
         self.pace = PACE * settings.channel_rate / 1000.0  # lines a millisecond for changes
         self.allowance = self.span = PACE_SPAN * settings.cycle * self.pace
+        self.written: dict[int, list[float]] = {}  # when messages went to a proxy, whatever stream it had
         self.waiting: dict[int, list[float]] = {}  # by mark, oldest first: lines unheard of, lines a message
 
     def advance(self, now: float) -> None:
@@ -128,18 +128,17 @@
         ordered = self.queued + sum(lines.values()) + len(lines) * self.head
         return (self.settings.backlog or math.inf) * share - ordered
 
-    def may_write(self, proxy: ProxyView, share: float) -> bool:
-        proxy.written = [at for at in proxy.written if at > self.at - self.settings.message_window]
-        cap = self.settings.message_cap
-        return not cap or len(proxy.written) + 1 <= max(1.0, cap * share)
+    def may_write(self, proxy: int, share: float) -> bool:
+        recent = [at for at in self.written.get(proxy, []) if at > self.at - self.settings.message_window]
+        self.written[proxy], cap = recent, self.settings.message_cap
+        return not cap or len(recent) + 1 <= max(1.0, cap * share)
 
-    def charge(self, proxies: dict[int, ProxyView], lines: dict[int, int]) -> list[Action]:
+    def charge(self, lines: dict[int, int]) -> list[Action]:
         """Book the messages of a reply; the mark tells when they have arrived."""
         if not lines:
             return []
         cost = sum(lines.values()) + len(lines) * self.head
-        for number in lines:
-            proxies[number].written.append(self.at)
+        self.written.update({number: [*self.written.get(number, []), self.at] for number in lines})
         self.queued, self.marks = self.queued + cost, (self.marks + 1) % MARKS
         self.waiting[self.marks] = [cost, cost / len(lines)]
         return [face.Mark(self.marks, False)]
@@ -150,14 +149,14 @@
         self.settings, self.random, self.outbox = settings, random.Random(seed), Outbox(settings)
         self.places = range(len(settings.classes))
         self.mean_aim = sum(c.aim for c in settings.classes) / max(1, len(settings.classes))
-        self.now, self.slot, self.slot_at, self.reported = 0.0, 0, -math.inf, False
+        self.now, self.slot, self.slot_at = 0.0, 0, -math.inf
+        self.reported = self.urgent = False  # there are figures; some line must be right at once
         self.actions: list[Action] = []
         self.lines: dict[int, int] = {}  # written in this reply, by proxy
         self.servers: dict[Server, ServerView] = {}
         self.proxies: dict[int, ProxyView] = {}
         self.tables: dict[Key, Table] = {}
         self.peers: dict[int, tuple[float, Rates]] = {}  # when heard, and what they send where
-        self.urgent = False  # some line must be right at once
         self.away: dict[Server, bool] = {}  # servers that drain or went: whether all joined proxies were told
         self.withdrawn: dict[Server, None] = {}
         self.written = [-math.inf] * settings.zones  # when changes last went to all proxies of a zone
@@ -178,7 +177,7 @@
             self.send_changes()
         self.bind_joined()
         self.withdraw_away()
-        return self.actions + self.outbox.charge(self.proxies, self.lines)
+        return self.actions + self.outbox.charge(self.lines)
 
     def take(self, event: Event) -> bool:
         """Update what is known; true if the slot timer fired."""
@@ -471,7 +470,7 @@
         kept = moves and moves[0][0] <= COLD and self.slot_at == self.now  # a reserve for the rules, in slots
         share = 1.0 if kept else DELTA_MESSAGES
         fits = full > 0 and self.outbox.room(self.lines, BUSY) > 0 and all(
-            self.outbox.may_write(self.proxies[u], share) for u in users if u not in self.lines)
+            self.outbox.may_write(u, share) for u in users if u not in self.lines)
         chosen = moves[:most] if fits else []
         self.urgent |= sum(1 for move in chosen if move[0] < LATER) < pressing
         if chosen or (news and usual and fits):
@@ -506,7 +505,8 @@
 
     def bind_joined(self) -> None:
         """A proxy that joined gets its zone's whole tables in place of the standing ones; busiest first."""
-        waiting = [(-sum(p.demand), number) for number, p in self.proxies.items() if not p.bound]
+        waiting = [(-sum(p.demand), number) for number, p in self.proxies.items()
+                   if not p.bound and self.outbox.may_write(number, 1.0)]
         for _, number in sorted(waiting):
             proxy = self.proxies[number]
             tables = [self.table_for((proxy.zone, place)) for place in self.places]
@@ -526,7 +526,7 @@
         zones = {t.zone for t in self.tables.values() if any(server in t.sent for server in news)}
         holders = [n for n, p in self.proxies.items() if not p.bound or p.zone in zones]
         fits = len(holders) * (len(news) + self.outbox.head) <= self.outbox.room(self.lines, FULL)
-        if news and fits and all(self.outbox.may_write(self.proxies[n], DELTA_MESSAGES) for n in holders):
+        if news and fits and all(self.outbox.may_write(n, DELTA_MESSAGES) for n in holders):
             self.actions += [face.Withdraw(server, out) for server, out in news.items()]
             self.withdrawn = dict.fromkeys(s for s in [*self.withdrawn, *news] if s in self.away)
             recent = list(self.away.items())[-AWAY_MOST * len(self.servers):]
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -53,6 +53,7 @@
         self.arriving = 0  # connections taken, but not attended yet
         self.peers: set[Peer] = set()  # all connections that are attended
         self.collectors: dict[int, list[Peer]] = {}  # of each zone; the older ones are heard too
+        self.paces: dict[int, Pace] = {}  # of proxies, whatever connection they have
         self.waiting = Waiting(timing.waiting_most(addresses.memory_mb))
         self.post: Callable[[Item], None] = lambda item: None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -132,8 +133,7 @@
         finally:
             self.arriving -= 1
         peer = Peer(reader, writer, self.names, self.settings.proxies, self.post, self.known,
-                    Pace(self.settings.message_cap, self.settings.message_window + timing.JITTER),
-                    self.waiting, lambda server: self.roster.ids.name(server) is not None)
+                    self.pace, self.waiting, lambda server: self.roster.ids.name(server) is not None)
         self.peers.add(peer)
         self.known(peer, False)
         try:
@@ -144,6 +144,11 @@
             if peer.zone is not None:
                 self.collectors[peer.zone].remove(peer)
 
+    def pace(self, proxy: int) -> Pace:
+        """The limit of messages is of a proxy: a new stream begins no new count."""
+        cap, span = self.settings.message_cap, self.settings.message_window + timing.JITTER
+        return self.paces.setdefault(proxy, Pace(cap, span))
+
     def known(self, peer: Peer, known: bool) -> None:
         """Keep who has not said what it is apart; of a zone's collectors the longest silent goes."""
         self.strangers.pop(peer, None)
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -68,8 +68,9 @@
     """A proxy's stream, a collector, or somebody who has not said yet."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, names: Names, proxies: int,
-                 post: Callable[[Item], None], known: Callable[[Peer, bool], None], pace: Pace,
-                 waiting: Waiting, listed: Callable[[face.Server], bool]) -> None:
+                 post: Callable[[Item], None], known: Callable[[Peer, bool], None],
+                 pace: Callable[[int], Pace], waiting: Waiting,
+                 listed: Callable[[face.Server], bool]) -> None:
         self.reader, self.writer, self.names, self.proxies = reader, writer, names, proxies
         self.post, self.pace, self.waiting = post, pace, waiting
         self.listed = listed  # whether a server is known
@@ -216,11 +217,11 @@
         try:
             while True:
                 data = await self.mailbox.get()
-                if data is not PONG:
-                    now = asyncio.get_running_loop().time
-                    while (wait := self.pace.wait(now())) > 0:
+                if data is not PONG and self.proxy is not None:
+                    now, pace = asyncio.get_running_loop().time, self.pace(self.proxy)
+                    while (wait := pace.wait(now())) > 0:
                         await asyncio.sleep(wait)
-                    self.pace.wrote(now())
+                    pace.wrote(now())
                 self.writer.write(data)
                 await self.writer.drain()
                 self.unsent -= len(data)
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -44,7 +44,7 @@
     def send(self, *events: face.Event, wait: float = 0.0) -> list[face.Action]:
         self.now += wait
         for event in events:
-            if isinstance(event, face.ProxyLeft):
+            if isinstance(event, face.ProxyLeft | face.ProxyJoined):
                 self.bound.pop(event.proxy, None)
         actions = list(self.planner.handle(self.now, events))
         for action in actions:
--- a/tests/test_app.py
+++ b/tests/test_app.py
@@ -4,7 +4,7 @@
 
 from desk import SETTINGS
 
-from stackwheel.balance import Outbox, ProxyView
+from stackwheel.balance import Outbox
 from stackwheel.service.app import on_sockets, silence
 from stackwheel.wire.peer import Pace
 
@@ -12,8 +12,8 @@
 def test_a_slot_that_comes_early_finds_the_message_of_as_many_cycles_ago_gone() -> None:
     """In the simulator the tenth slot comes 10 s later to the millisecond, on sockets 3 ms early or late."""
     told = replace(SETTINGS, message_cap=2, message_window=10_000.0)
-    outbox, proxy = Outbox(on_sockets(told)), ProxyView(0, [1.0])
-    proxy.written = [1000.0, 2000.0]
+    outbox, proxy = Outbox(on_sockets(told)), 3
+    outbox.written[proxy] = [1000.0, 2000.0]
     outbox.advance(10_990.0)
     assert outbox.may_write(proxy, 1.0)
     assert replace(on_sockets(told), message_window=told.message_window) == told
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -14,6 +14,7 @@
 from stackwheel.state.clock import Clock
 from stackwheel.state.ids import Ids, digest
 from stackwheel.state.module import Ended, Item, Said
+from stackwheel.state.orders import Message
 from stackwheel.state.roster import Instance, Listing, Roster
 from stackwheel.state.streams import Stream
 from stackwheel.wire.links import Links
@@ -202,6 +203,31 @@
     run(work())
 
 
+def test_a_new_stream_of_a_proxy_begins_no_new_count_of_messages() -> None:
+    async def work() -> None:
+        setup = Setup()
+        await setup.open()
+        cap = setup.links.settings.message_cap
+        for life in range(2):
+            proxy = setup.connect(b"SUBSCRIBE id=1 site=east rps=1 new=1\r\n")
+            await until(lambda: any(isinstance(item, Stream) for item in setup.posted))
+            (line,) = [item.line for item in setup.posted if isinstance(item, Stream)]
+            setup.links.deliver([(line, Message(1, mark=mark)) for mark in range(cap - 2)])  # type: ignore[list-item]
+            proxy.setblocking(False)
+            heard = b""
+            while heard.count(b"\r\n") < (cap - 2, 2)[life]:
+                heard += await asyncio.get_running_loop().sock_recv(proxy, 65536)
+            await asyncio.sleep(0.05)
+            with contextlib.suppress(BlockingIOError):
+                heard += proxy.recv(65536)
+            assert heard.count(b"\r\n") == (cap - 2, 2)[life]
+            proxy.close()
+            await until(lambda: not setup.links.peers)
+            setup.posted.clear()
+
+    run(work())
+
+
 def test_who_is_cut_off_is_not_waited_for() -> None:
     """It reads nothing, so that nothing can be said to it; it is closed all the same."""
     async def work() -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -492,3 +492,15 @@
     assert sum(1 for v in desk.planner.servers.values() if desk.planner.ejected(v)) == 3
     goal = desk.planner.as_shares(desk.planner.spread()[0, 0])[name(0)]
     assert 0 < desk.table(0)[name(0)] < 1.3 * goal
+
+
+def test_the_message_cap_is_of_a_proxy_whatever_stream_it_has() -> None:
+    """Streams that broke and came back brought a thirteenth message within the span."""
+    desk = Desk(servers=[entry(n, 0) for n in range(4)], proxies=((0, 0),), message_cap=4, message_window=10000.0)
+    sent = []
+    for _ in range(20):
+        actions = desk.send(face.ProxyLeft(0), face.ProxyJoined(0, 0, 40.0, False), wait=400.0)
+        sent += [desk.now] * any(isinstance(action, face.AssignTable) for action in actions)
+    assert len([at for at in sent if at > desk.now - 8000.0]) == 3  # the first came at the start
+    desk.send(wait=10000.0)
+    assert 0 in desk.bound
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -48,10 +48,7 @@
         for event in batch:
             if isinstance(event, face.ServerList):
                 ever |= {e.server for e in event.entries}
-        left = [e.proxy for e in batch if isinstance(e, face.ProxyLeft | face.ProxyJoined)]
         actions = desk.send(*batch, wait=wait)
-        for proxy in left:
-            written[proxy] = []
         lines = lines_by_proxy(desk, actions)
         queue = max(0.0, queue - (desk.now - at) / 1000.0 * SETTINGS.channel_rate) + sum(
             count + SETTINGS.overhead for count in lines.values())
