Forget servers that are gone for good: names, addresses, streams' and the policy's notes

Checked: Ids.names, Roster.addresses and returned and Stream.shut had no one to forget; the policy's away was cut only when a withdrawal went out, and what peers tell was merged for good. Ruled out as large: 200 ids are some 100 KB. At fault: state/ids.py, state/roster.py, state/streams.py; balance.py take (peers) and take_list (away). The test plays 600 replacements: 13 of 14 sizes were equal with the policy as before, away had 300 and 600 entries; it fails without any part.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -196,8 +196,8 @@
             case face.Acknowledged(_, mark, elapsed):
                 self.outbox.acknowledge(mark, elapsed)
             case face.PeerMessage(sender, payload):
-                told = self.peers.get(sender, (0.0, {}))[1]
-                self.peers[sender] = self.now, {**told, **read_peer(payload)}
+                told = {**self.peers.get(sender, (0.0, {}))[1], **read_peer(payload)}
+                self.peers[sender] = self.now, {s: rate for s, rate in told.items() if s in self.servers}
             case face.TimerFired(token) if token == LIST_TOKEN:
                 self.actions.append(face.Subscribe())
         return event == face.TimerFired(SLOT_TOKEN + self.slot)
@@ -216,6 +216,7 @@
         for server in [s for s in self.servers if s in gone and not self.settings.only_draining_binds]:
             del self.servers[server]
             self.urgent, self.away[server] = True, False
+        self.away = dict(list(self.away.items())[-AWAY_MOST * max(1, len(self.servers)):])
 
     def take_entry(self, entry: ServerEntry) -> None:
         known = self.servers.setdefault(entry.server, ServerView(entry))
@@ -529,8 +530,7 @@
         if news and fits and all(self.outbox.may_write(n, DELTA_MESSAGES) for n in holders):
             self.actions += [face.Withdraw(server, out) for server, out in news.items()]
             self.withdrawn = dict.fromkeys(s for s in [*self.withdrawn, *news] if s in self.away)
-            recent = list(self.away.items())[-AWAY_MOST * len(self.servers):]
-            self.away = {server: told or server in news for server, told in recent}
+            self.away = {server: told or server in news for server, told in self.away.items()}
             self.withdrew = self.now if joined else self.withdrew
             self.lines.update({number: self.lines.get(number, 0) + len(news) for number in holders})
 
--- a/stackwheel/state/ids.py
+++ b/stackwheel/state/ids.py
@@ -16,7 +16,7 @@
 
 
 class Ids:
-    """Names by id. What was once listed stays known, as tables may name it after it has gone."""
+    """Names by id. What was listed stays known while a table or proxy may name it."""
 
     def __init__(self) -> None:
         self.names: dict[Server, str] = {}
@@ -31,3 +31,6 @@
 
     def name(self, server: Server) -> str | None:
         return self.names.get(server)
+
+    def forget(self, server: Server) -> None:
+        self.names.pop(server, None)
--- a/stackwheel/state/module.py
+++ b/stackwheel/state/module.py
@@ -103,6 +103,10 @@
         self.filled.clear()
         events = [event for item in items for event in self.events(item)]
         self.decide([*events, *self.streams.fall_silent(self.clock.now())])
+        for server in self.roster.outdated():
+            if not self.orders.names(server):
+                self.roster.forget(server)
+                self.streams.forget(server)
 
     def decide(self, events: list[Event]) -> None:
         """Ask the policy, and do as it says; without one, between two lives, nothing is decided."""
--- a/stackwheel/state/orders.py
+++ b/stackwheel/state/orders.py
@@ -69,6 +69,11 @@
         """The policy's mark that an acknowledged one stands for; None if an earlier policy set it."""
         return mark - self.first_mark if mark >= self.first_mark else None
 
+    def names(self, server: Server) -> bool:
+        """Whether a table, a withdrawal or a stream that shut it out still names a server."""
+        return (server in self.withdrawn or any(server in lines for lines in self.tables.values())
+                or any(stream.shut.get(server) for stream in self.streams.by_proxy.values()))
+
     def take(self, actions: Iterable[Action]) -> list[Message]:
         """Bring the tables to the end state of a reply; a message to each proxy that it concerns."""
         touched = Touched()
--- a/stackwheel/state/roster.py
+++ b/stackwheel/state/roster.py
@@ -10,6 +10,8 @@
 from stackwheel.interface import Availability, ListScope, Server, ServerEntry
 from stackwheel.state.ids import Ids
 
+GONE_LEAST, GONE_SHARE = 64, 2  # gone servers kept: this times the listed, as the policy does
+
 
 @dataclass(frozen=True, slots=True)
 class Instance:
@@ -40,6 +42,7 @@
         self.generation = 0
         self.entries: dict[Server, ServerEntry] = {}
         self.addresses: dict[Server, str] = {}  # where this planner reaches them
+        self.gone: dict[Server, None] = {}  # the first to go first; each may return with the same id
         self.returned: set[Server] = set()  # restarted, or seen away: some planner may have shut them out
 
     def apply(self, listing: Listing) -> face.ServerList:
@@ -53,6 +56,11 @@
                         if s not in gone}
         self.returned |= gone | {s for s, e in present.items()
                                  if e.started > 0 or e.availability is Availability.DRAINING}
+        for server in gone:
+            self.gone[server] = None
+            self.addresses.pop(server, None)
+        for server in self.entries:
+            self.gone.pop(server, None)
         self.generation = listing.generation
         scope = ListScope.WHOLE if listing.whole else ListScope.CHANGES
         return face.ServerList(scope, listing.generation, tuple(entries))
@@ -69,6 +77,16 @@
         return ServerEntry(server, self.zones.index(instance.zone), kind, instance.cell,
                            instance.availability, instance.weight, instance.started)
 
+    def outdated(self) -> list[Server]:
+        """The gone servers beyond the bound, which are forgotten once nothing names them."""
+        most = max(GONE_LEAST, GONE_SHARE * len(self.entries))
+        return list(self.gone)[:max(0, len(self.gone) - most)]
+
+    def forget(self, server: Server) -> None:
+        self.gone.pop(server, None)
+        self.returned.discard(server)
+        self.ids.forget(server)
+
     def cached(self) -> face.ServerList:
         """The present list, for a policy that starts from it."""
         return face.ServerList(ListScope.CACHED, self.generation, tuple(self.entries.values()))
--- a/stackwheel/state/streams.py
+++ b/stackwheel/state/streams.py
@@ -104,6 +104,11 @@
         stream.marks = {later: stream.marks[later] for later in order[order.index(mark) + 1:]}
         return True
 
+    def forget(self, server: Server) -> None:
+        """What was let back on a stream need not be known of a server that is gone for good."""
+        for stream in self.by_proxy.values():
+            stream.shut.pop(server, None)
+
     def fall_silent(self, now: float) -> Iterable[Event]:
         late = now - self.silence
         for stream in [s for s in self.by_proxy.values() if s.asked_at is not None and s.asked_at < late]:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -14,7 +15,7 @@
 from stackwheel.state.ids import Ids, digest
 from stackwheel.state.module import Ended, Item, ListFailed, Module, Said
 from stackwheel.state.orders import MARKS, Message
-from stackwheel.state.roster import Instance, Listing, Roster
+from stackwheel.state.roster import GONE_LEAST, Instance, Listing, Roster
 from stackwheel.state.streams import MARKS_MOST, Line, Stream
 
 
@@ -336,3 +337,77 @@
     for mark in range(200):
         setup.ask(mark)
     assert list(setup.module.streams.by_proxy[1].marks) == list(range(200 - MARKS_MOST, 200))
+
+
+def replaced(number: int, module: Module, outside: Outside, clock: "SetClock", line: Wire) -> None:
+    """A server of a new id comes, the oldest drains and goes; reports and the other planner tell of all."""
+    def tell(place: int, state: Availability) -> None:
+        entry = Instance(f"s-{place}", f"127.0.0.1:{place}", ("east", "west")[place % 2], "small", 0, state, 1.0,
+                         clock.at - 20_000.0)
+        module.post(Listing(2 + number, False, (entry,)))
+
+    def turn() -> None:
+        clock.at += 400.0
+        module.post(Said(1, None, line))
+        for place in range(number - 4, number + 1):
+            module.post(face.ServerReport(0, digest(f"s-{place}"), 20, 0, 60.0, 1000.0))
+        module.post(face.PeerMessage(1, digest(f"s-{number}") + b"\0\x09"))
+        module.post(face.DemandReport(1, 0, 40, 0, 1000.0))
+        module.turn()
+        for said in [said for said in outside.said if said[0] == "message" and said[2].mark is not None]:
+            module.post(Said(1, face.Acknowledged(1, said[2].mark, 5.0), line))
+        outside.said.clear()
+
+    tell(number, Availability.READY)
+    turn()
+    tell(number - 4, Availability.DRAINING)
+    turn()
+    tell(number - 4, Availability.GONE)
+    if number % 10 == 0:  # the stream breaks and returns
+        module.post(Ended(1, line))
+        module.post(stream(1, line, fresh=False))
+    turn()
+
+
+def test_a_long_day_of_new_servers_is_forgotten() -> None:
+    """Each came with a new id, and everything that had ever been listed stayed known."""
+    async def work() -> None:
+        clock, outside, line = SetClock(), Outside(), Wire()
+        clock.at = 100_000.0
+        roster = Roster(("east", "west"), ("small",), Ids())
+        settings = replace(SETTINGS, planners=2, peers_allowed=True, message_cap=0)
+        module = Module(settings, 0.0, 40, clock, roster, outside, 60_000.0)  # type: ignore[arg-type]
+        roster.apply(listing("s-0", "s-1", "s-2", "s-3"))
+        module.decide([roster.cached()])
+        module.post(stream(1, line))
+        sizes = []
+        for number in range(4, 604):
+            replaced(number, module, outside, clock, line)
+            if number in (303, 603):
+                policy = module.planner
+                assert policy is not None
+                sizes.append([len(kept) for kept in (
+                    roster.entries, roster.addresses, roster.gone, roster.returned, roster.ids.names,
+                    module.streams.by_proxy[1].shut, module.orders.withdrawn, policy.servers, policy.away,
+                    policy.withdrawn, policy.peers[1][1], policy.outbox.waiting, policy.outbox.written)]
+                    + [sum(len(lines) for lines in module.orders.tables.values())])
+        assert sizes[0] == sizes[1]
+        entries, addresses, gone, returned, names, *_ = sizes[1]
+        assert (entries, addresses, gone, returned, names) == (4, 4, GONE_LEAST, GONE_LEAST + 4, GONE_LEAST + 4)
+
+    asyncio.run(work())
+
+
+def test_a_gone_server_that_something_names_is_kept() -> None:
+    setup = Setup()
+    held = digest("s-0")
+    setup.lives[0].answers = [[face.SetWeight(0, held, 1.0), face.AssignTable(1, 0, ())]]
+    setup.turn(stream(1, Wire()))
+    for number in range(2, 200):
+        setup.turn(listing(f"s-{number}", generation=number))
+    assert setup.module.roster.ids.name(held) == "s-0" and setup.module.roster.ids.name(digest("s-2")) is None
+    setup.lives[0].answers = [[face.SetWeight(0, held, 0.0)]]
+    setup.turn()
+    assert setup.module.roster.ids.name(held) is None
+    setup.turn(listing("s-0", generation=300))  # and may come again
+    assert setup.module.roster.ids.name(held) == "s-0" and held in setup.module.roster.addresses
