Count demand by all that came in a slot: small proxies' silent seconds count as none

Checked: reports come for seconds with a request alone; windows are 1 to 6 s as the intake is limited. Ruled out: rates at servers (1.03, 1.06), the queue of orders, late acknowledgements ('slowed' never), cold servers (0 or 1 at a time). At fault: balance.py take_demand (a report's count over its window, blended by report) and demand, its sum. Now: requests of a zone and class told in a slot over its length, smoothed as before; a join counts as it promises until it tells; who leaves takes its part along. Tests seen to fail before: 122 believed where 40 came; a class never told of stays counted.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -1,8 +1,7 @@
 """The policy: every decision and every tuned value of the planner, in reading order.
 
-Its types, events and actions are in `stackwheel/interface.py`. Each slot it turns reports into estimates,
-spreads every zone's demand per class over servers in proportion to spare capacity weighted down by a score of
-delay plus cost, moves the shared tables a capped step and sends what moved. Rule-critical events do not wait.
+Types: `stackwheel/interface.py`. Each slot it spreads every zone's demand per class over servers by spare
+capacity weighted down by delay plus cost, moves tables a step, sends what moved; what rules need at once.
 """
 
 from __future__ import annotations
@@ -19,27 +18,23 @@
 # Estimates
 SMOOTHING, EVIDENCE = 0.5, 10.0  # step of a rate or load to its newest; tries for half an answer time
 FADE, ZONE_FADE = 0.1, 0.2  # a slot's drift of what nobody confirms: to all servers' average, to its server's
-ERROR_AIMS, PEER_LIFE = 2.0, 3.0  # aims an error counts as; cycles for which a peer's figures count
+ERROR_AIMS, PEER_LIFE, EXPECTED = 2.0, 3.0, 8.0  # of an error; cycles a peer's, a join's figures count for
 TARGET_USE, LEAST_USE = 0.7, 0.45  # the design's; the fleet is never taken to be less used than
 CAPACITY_GAIN, LEVEL_RISE = 0.15, 0.03  # step to a new figure; by which it rises in a slot of quick answers
 CALM_SPAN, CALM_DRIFT = 1.3, 0.01  # quick: within so many times the quickest, which is forgotten by this
 # Spread, tables and health
 COST_V, SCORE_POWER = 30.0, 3.0  # V: aims of delay that one unit of cross-zone price is worth
-USES = (TARGET_USE, 0.85, 1.0)  # filled in turn: what exceeds the target still goes where there is most room
-ROUNDS, LEAST_ROOM = 4, 0.02  # fillings up to one use; of what a server can do, whatever others send there
-COLD_USE = 0.22  # of fall_multiple times what a cold server can do: the most it is given
-HEARD, JAM_SLOW = 0.3, 1.75  # of the traffic; quickest times: keep cold servers out
+USES, ROUNDS, LEAST_ROOM = (TARGET_USE, 0.85, 1.0), 4, 0.02  # filled in turn; fillings; a server's least
+COLD_USE, HEARD, JAM_SLOW = 0.22, 0.3, 1.75  # cold: most, of fall_multiple; kept out: traffic heard, slowness
 STEP, WORTH_SENDING = 0.2, 0.1  # the design's: most a weight moves in a slot; least that is sent
 OVERWEIGHT, LEAST_SHARE = 1.2, 0.005  # of its share: a cold or ejected line over it is urgent; least line
 EJECT_AT, EJECT_TRIES, DEAD, CROWDED = 0.3, 8.0, 0.8, 2.0  # failures over tries; dead; slow by load
-PANIC_SHARE = 0.4  # of the ready servers: never eject more
-TRICKLE, HOLD, HOLD_MOST = 0.05, 3.0, 16.0  # of an even share, while ejected; for cycles, doubled up to
+PANIC_SHARE, TRICKLE, HOLD, HOLD_MOST = 0.4, 0.05, 3.0, 16.0  # ejected: most, even share left, cycles up to
 PACE, PACE_SPAN = 0.4, 2.0  # of the stated rate, for changes; cycles of it for one zone's in one go
 BUSY, FULL, DELTA_MESSAGES = 0.25, 0.8, 0.6  # of the backlog: add to no queue over; nor beyond; of the cap
 WITHDRAW_AFTER, AWAY_MOST = 0.4, 2  # of the drain grace, waiting for tables; remembered, of the fleet
 SLOWEST, LATE, MARKS = 0.2, 0.6, 1 << 16  # of its rate, if unheard; of a full queue's time: slowed; marks
-SLOW_AIMS, SLOW_CALM = 0.3, 1.7  # half of the traffic slower than so many aims and quickest times
-FULL_USE = 0.92  # of known capacity, or of what is answered under overload: more demand than that is shed
+SLOW_AIMS, SLOW_CALM, FULL_USE = 0.3, 1.7, 0.92  # half of the traffic as slow; of what is answered
 SHED_GAIN, SHED_BACK, SHED_MOST = 0.5, 0.2, 0.95  # step to there; share back in a calm slot; limit
 LEAST_LEVEL, ALL, NO_LIMIT = 0.05, 0.99, 1e6  # least share let in; what counts as all; no rate limit
 FURTHER_TRY = Retry.ONCE_IF_UNTRIED  # safe for any class; after any failure it doubled the work under strain
@@ -93,7 +88,8 @@
 @dataclass(slots=True)
 class ProxyView:
     zone: int
-    demand: list[float]  # by class
+    demand: list[float]  # by class, of the seconds that had any
+    due: list[float]  # expected of classes that it has not told of
     joined: float = 0.0
     bound: bool = False
 
@@ -160,7 +156,8 @@
         self.away: dict[Server, bool] = {}  # servers that drain or went: whether all joined proxies were told
         self.withdrawn: dict[Server, None] = {}
         self.written = [-math.inf] * settings.zones  # when changes last went to all proxies of a zone
-        self.shed = self.level = self.calm = self.withdrew = 0.0
+        self.shed = self.level = self.calm = self.withdrew = self.counted = 0.0
+        self.flow: dict[Key, list[float]] = {}  # requests told of since the last count; a second, by counts
 
     def handle(self, now: float, events: Iterable[Event]) -> list[Action]:
         """Take in a batch, act at once on what the rules hang on, and run the slot when it is due."""
@@ -190,14 +187,16 @@
                 self.take_demand(event)
             case face.ProxyJoined(proxy, zone, rate, _):
                 each = [bounded(rate, 0.0, NO_LIMIT) / max(1, len(self.places)) for _ in self.places]
-                self.proxies[proxy] = ProxyView(zone, each, joined=self.now)
-            case face.ProxyLeft(proxy):
-                self.proxies.pop(proxy, None)
+                self.proxies[proxy] = ProxyView(zone, each, [*each], joined=self.now)
+            case face.ProxyLeft(proxy) if proxy in self.proxies:
+                gone = self.proxies.pop(proxy)
+                for told, rate, due in zip(self.told(gone.zone), gone.demand, gone.due, strict=True):
+                    told[1] = max(0.0, told[1] - rate * (not due))
             case face.Acknowledged(_, mark, elapsed):
                 self.outbox.acknowledge(mark, elapsed)
             case face.PeerMessage(sender, payload):
-                told = {**self.peers.get(sender, (0.0, {}))[1], **read_peer(payload)}
-                self.peers[sender] = self.now, {s: rate for s, rate in told.items() if s in self.servers}
+                sent = {**self.peers.get(sender, (0.0, {}))[1], **read_peer(payload)}
+                self.peers[sender] = self.now, {s: rate for s, rate in sent.items() if s in self.servers}
             case face.TimerFired(token) if token == LIST_TOKEN:
                 self.actions.append(face.Subscribe())
         return event == face.TimerFired(SLOT_TOKEN + self.slot)
@@ -225,10 +224,9 @@
         self.urgent |= (entry.started > known.entry.started
                         or entry.availability is not known.entry.availability)
         self.servers[entry.server].entry = entry
+        told = self.away.pop(entry.server, False)
         if entry.availability is face.Availability.DRAINING:
-            self.away.setdefault(entry.server, False)
-        else:
-            self.away.pop(entry.server, None)
+            self.away[entry.server] = told
 
     def ready(self) -> list[ServerView]:
         return [v for v in self.servers.values() if v.entry.availability is face.Availability.READY]
@@ -282,26 +280,34 @@
         proxy, place = self.proxies.get(report.proxy), report.request_class
         if proxy is not None and 0 < report.window < math.inf and place in self.places:
             proxy.demand[place] = blend(proxy.demand[place], report.requests * 1000.0 / report.window, 0.5)
+            told, self.counted = self.told(proxy.zone)[place], self.counted or self.now - report.window
+            told[:], proxy.due[place] = [told[0] + report.requests, told[1] + proxy.due[place]], 0.0
+
+    def told(self, zone: int) -> list[list[float]]:
+        return [self.flow.setdefault((zone, place), [0.0, 0.0]) for place in self.places]
 
     def demand(self, zone: int | None = None) -> list[float]:
-        """Requests a second by class, of all joined proxies or of a zone's."""
-        mine = [p.demand for p in self.proxies.values() if zone in (None, p.zone)]
-        return [sum(rates) for rates in zip(*mine, strict=True)] or [0.0] * len(self.places)
+        """Requests a second by class, of all or a zone: silence counts as none, a join as it promises."""
+        new = self.now - EXPECTED * self.settings.cycle
+        due = [p.due for p in self.proxies.values() if zone in (None, p.zone) and p.joined > new]
+        rates = [[rate for _, rate in self.told(z)] for z in range(self.settings.zones) if zone in (None, z)]
+        return [sum(by_class) for by_class in zip(*rates, *due, strict=True)]
 
     def run_slot(self) -> None:
-        self.slot, self.slot_at = self.slot + 1, self.now
-        if self.reported:
+        told, self.reported, self.slot, self.slot_at = self.reported, False, self.slot + 1, self.now
+        if told:
             self.update_estimates()
             self.judge_health()
             self.set_shedding()
             self.tell_peers()
-        self.reported = False
         self.move_tables()
         self.send_changes()
         self.actions.append(face.SetTimer(1.25 * self.settings.cycle, SLOT_TOKEN + self.slot))
 
     def update_estimates(self) -> None:
-        usual = self.usual_answer()
+        usual, since, self.counted = self.usual_answer(), self.now - self.counted, self.now
+        for told in self.flow.values():
+            told[:] = 0.0, blend(told[1], told[0] * 1000.0 / max(1.0, since), SMOOTHING)
         for view in self.servers.values():
             view.heard = {zone: heard for zone, heard in view.heard.items() if heard[0] > self.now}
             if not view.heard and view.answer is not None:  # silence is no health and no death
@@ -323,8 +329,7 @@
         load = sum(v.rate * (1 - v.failing) + self.others_rate(v) for v in ready)  # refused tries are no load
         load /= max(1.0, sum(v.size for v in ready))
         self.calm = min(usual, self.calm * (1 + CALM_DRIFT)) if self.calm else usual
-        if usual < CALM_SPAN * self.calm:
-            self.level *= 1 + LEVEL_RISE
+        self.level *= 1 + LEVEL_RISE * (usual < CALM_SPAN * self.calm)
         self.level = bounded(self.level, load / TARGET_USE, load / LEAST_USE)
 
     def expect_capacity(self) -> None:
@@ -332,10 +337,9 @@
         known = [v for v in self.servers.values() if v.rate > 0 and v.capacity > 0]
         sizes = max(1.0, sum(v.size for v in self.servers.values()))
         guess = sum(self.demand()) * self.settings.planners / TARGET_USE / sizes
-        for view in self.servers.values():
-            if view.capacity <= 0 or view.rate <= 0:
-                alike = [v.capacity / v.size for v in known if v.entry.kind == view.entry.kind]
-                view.capacity = max(1e-3, view.size * (sum(alike) / len(alike) if alike else guess))
+        for view in [v for v in self.servers.values() if v.capacity <= 0 or v.rate <= 0]:
+            alike = [v.capacity / v.size for v in known if v.entry.kind == view.entry.kind]
+            view.capacity = max(1e-3, view.size * (sum(alike) / len(alike) if alike else guess))
 
     def learn_capacity(self, view: ServerView, usual: float) -> None:
         """Served rate over use where use is reported, else by how its answer time compares."""
@@ -501,8 +505,7 @@
             table.level = level
             orders.append(face.SetAdmission(table.number, (table.place,), *level))
         self.actions += orders
-        for user in users if orders else []:
-            self.lines[user] = self.lines.get(user, 0) + len(orders)
+        self.lines.update({user: self.lines.get(user, 0) + len(orders) for user in users if orders})
 
     def bind_joined(self) -> None:
         """A proxy that joined gets its zone's whole tables in place of the standing ones; busiest first."""
@@ -551,15 +554,13 @@
             self.shed += SHED_GAIN * max(0.0, 1.0 - FULL_USE * answered / demand - self.shed)
         else:
             self.shed -= SHED_BACK * (0.1 + self.shed)
-        least = bounded(1.0 - FULL_USE * self.known_capacity() / demand, 0.0, SHED_MOST)
-        self.shed = bounded(self.shed, least, SHED_MOST)
+        self.shed = bounded(max(0.0, self.shed), 1.0 - FULL_USE * self.known_capacity() / demand, SHED_MOST)
 
     def known_capacity(self) -> float:
         """What the fleet can still do for us, where use is reported; without limit elsewhere."""
         sound = [v for v in self.ready() if not self.ejected(v)]
-        if not any("utilization" in v.load for v in sound):
-            return math.inf
-        return sum(max(0.0, v.capacity * self.warmth(v) - self.others_rate(v)) for v in sound)
+        spare = sum(max(0.0, v.capacity * self.warmth(v) - self.others_rate(v)) for v in sound)
+        return spare if any("utilization" in v.load for v in sound) else math.inf
 
     def admitted(self, place: int) -> float:
         """The share of a class let in: the least worth goes first."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -504,3 +504,32 @@
     assert len([at for at in sent if at > desk.now - 8000.0]) == 3  # the first came at the start
     desk.send(wait=10000.0)
     assert 0 in desk.bound
+
+
+def test_silence_of_many_small_proxies_is_no_demand() -> None:
+    """Each has a request of a class every third second, and tells of no others: together 40 a second, not 120."""
+    proxies = [(n, n % 2) for n in range(60)]
+    desk = Desk(servers=[entry(n, n % 2) for n in range(6)], proxies=proxies)
+    for second in range(30):
+        reports: list[face.Event] = [face.ServerReport(0, name(n), 8, 0, 90.0, 1000.0, (0.4,)) for n in range(6)]
+        told = [face.DemandReport(p, c, 1, 0, 1000.0) for p, _ in proxies for c in (0, 1) if (p + c + second) % 3 == 0]
+        desk.send(*reports, *told, wait=1000.0)
+    assert sum(desk.planner.demand()) == pytest.approx(40.0, rel=0.1)
+    assert sum(desk.planner.demand(0)) == pytest.approx(20.0, rel=0.2)
+
+
+def test_who_joins_counts_as_it_promises_until_it_tells_and_takes_its_share_along() -> None:
+    desk = Desk(servers=[entry(n, 0) for n in range(4)], proxies=((0, 0), (1, 0)), cross_zone_price=0.0)
+    assert sum(desk.planner.demand()) == pytest.approx(80.0)
+    for _ in range(12):
+        desk.slot(demand=15)
+    assert desk.planner.demand(0) == pytest.approx([30.0, 30.0], rel=0.01)
+    desk.send(face.ProxyJoined(2, 0, 40.0, True))
+    assert desk.planner.demand(0) == pytest.approx([50.0, 50.0], rel=0.01)
+    desk.send(face.ProxyLeft(2), face.ProxyLeft(1))
+    assert desk.planner.demand(0) == pytest.approx([15.0, 15.0], rel=0.01)
+    desk.send(face.ProxyJoined(3, 0, 40.0, True))
+    for _ in range(12):
+        desk.send(*(face.ServerReport(0, name(n), 8, 0, 90.0, 1000.0, (0.4,)) for n in range(4)),
+                  face.DemandReport(0, 0, 15, 0, 1000.0), face.DemandReport(0, 1, 15, 0, 1000.0), wait=1000.0)
+    assert desk.planner.demand(0) == pytest.approx([15.0, 15.0], rel=0.01)  # it never told of any
