--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import signal
 import sys
 from pathlib import Path
 
@@ -42,6 +43,12 @@
             assert "toy-0:" in first[0] and "toy-2:" in first[1]
             while "toy-0:0" not in (order := await line(started[2])).replace(",", " ").replace("=", " ").split():
                 assert order.startswith("CONFIG")
+            started.append(await example("toy_server.py", "--port", "0", "--servers", "4"))
+            found["discovery"] = (await line(started[3])).split()[2]
+            (tmp_path / "config.json").write_text(json.dumps(found))
+            started[1].send_signal(signal.SIGHUP)
+            while "toy-3:" not in (order := await line(started[2])):
+                assert order.startswith("CONFIG")
         finally:
             for process in started:
                 with contextlib.suppress(ProcessLookupError):
