Take repeats and needless work out of the change; behaviour is the same

The whole list is fetched and parsed in one place (wire/discovery.py whole_list). A Pace was made for each message and thrown away where the proxy had one; half lines were copied whole and the kinds encoded anew at each read; the gone servers were listed at each batch. let_go asked whether it runs in a watch's own task, which it never does; introduced set a time that only strangers' is read. Three comparisons of keys in service/reload.py are one.

--- a/stackwheel/service/reload.py
+++ b/stackwheel/service/reload.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import replace
+from collections.abc import Callable, Iterable
+from dataclasses import fields, replace
 
 from loguru import logger
 
@@ -42,14 +42,17 @@
         new = replace(found.addresses, **{key: getattr(old, key) for key in AT_START})
         self.config = replace(self.config, addresses=new)  # with what is in force
         self.apply(new)
-        changed = [key for key in Addresses.__dataclass_fields__ if getattr(old, key) != getattr(new, key)]
+        changed = differing([field.name for field in fields(Addresses)], old, new)
         logger.info("configuration reloaded; changed: {}", ", ".join(changed) or "nothing")
 
 
+def differing(keys: Iterable[str], old: object, new: object) -> list[str]:
+    return [key for key in keys if getattr(old, key) != getattr(new, key)]
+
+
 def needs_restart(old: Config, new: Config) -> list[str]:
     """The keys that are read at the start alone. `known` is one too, but old by now in either file."""
-    found = [key for key in ("name", "seed") if getattr(old, key) != getattr(new, key)]
-    found += [key for key in AT_START if getattr(old.addresses, key) != getattr(new.addresses, key)]
+    found = differing(("name", "seed"), old, new) + differing(AT_START, old.addresses, new.addresses)
     if (old.settings, old.names) != (new.settings, new.names):
         found.append("settings")
     return found
--- a/stackwheel/state/roster.py
+++ b/stackwheel/state/roster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import islice
 
 from loguru import logger
 
@@ -80,7 +81,7 @@
     def outdated(self) -> list[Server]:
         """The gone servers beyond the bound, which are forgotten once nothing names them."""
         most = max(GONE_LEAST, GONE_SHARE * len(self.entries))
-        return list(self.gone)[:max(0, len(self.gone) - most)]
+        return list(islice(self.gone, max(0, len(self.gone) - most)))
 
     def forget(self, server: Server) -> None:
         self.gone.pop(server, None)
--- a/stackwheel/wire/discovery.py
+++ b/stackwheel/wire/discovery.py
@@ -54,6 +54,11 @@
     return float(value)
 
 
+async def whole_list(address: str) -> Listing | CallFailed:
+    body = await get(address, PATH, timing.DIAL, timing.ANSWER)
+    return body if isinstance(body, CallFailed) else parse_listing(body)
+
+
 def merge(held: Listing, changes: Listing) -> Listing:
     """A whole list brought forward by what changed since."""
     found = {instance.name: instance for instance in (*held.instances, *changes.instances)}
@@ -117,14 +122,13 @@
 
     def let_go(self) -> None:
         for task in (self.watching, self.successor):
-            if task is not None and task is not asyncio.current_task():
+            if task is not None:
                 task.cancel()
         self.watching = self.successor = None
 
     async def fetch(self, address: str) -> None:
-        body = await get(address, PATH, timing.DIAL, timing.ANSWER)
+        found = await whole_list(address)
         if address == self.address:  # else it is of a discovery that has moved meanwhile
-            found = body if isinstance(body, CallFailed) else parse_listing(body)
             if isinstance(found, CallFailed):
                 self.failed(found, address)
             else:
@@ -175,8 +179,7 @@
             if isinstance(found, CallFailed) or self.source == address:
                 yield found
             elif found is not None and not found.whole and held is None:
-                body = await get(address, PATH, timing.DIAL, timing.ANSWER)
-                fetched = body if isinstance(body, CallFailed) else parse_listing(body)
+                fetched = await whole_list(address)
                 if isinstance(fetched, CallFailed):
                     yield fetched
                     return
--- a/stackwheel/wire/lines.py
+++ b/stackwheel/wire/lines.py
@@ -148,11 +148,13 @@
         return Spoilt(f"{kind}: {error}")
 
 
-def begun(held: bytes) -> Unreadable | None:
+KINDS = tuple(name.encode() for name in READERS)
+
+
+def begun(held: bytes | bytearray) -> Unreadable | None:
     """Whether the start of a line may become a message; who sends no end of it is not waited for."""
-    kind, space, _ = held[:64].removesuffix(b"\r").partition(b" ")
-    known = [name.encode() for name in READERS]
-    if kind not in known if space else not any(name.startswith(kind) for name in known):
+    kind, space, _ = bytes(held[:64]).removesuffix(b"\r").partition(b" ")
+    if kind not in KINDS if space else not any(name.startswith(kind) for name in KINDS):
         return Unreadable(f"unknown kind {kind[:40].decode(errors='replace')!r}")
     if found := NO_TEXT.search(held, 0, len(held) - held.endswith(b"\r")):
         return Unreadable(f"no text at byte {found.start()}")
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -146,8 +146,9 @@
 
     def pace(self, proxy: int) -> Pace:
         """The limit of messages is of a proxy: a new stream begins no new count."""
-        cap, span = self.settings.message_cap, self.settings.message_window + timing.JITTER
-        return self.paces.setdefault(proxy, Pace(cap, span))
+        if proxy not in self.paces:
+            self.paces[proxy] = Pace(self.settings.message_cap, self.settings.message_window + timing.JITTER)
+        return self.paces[proxy]
 
     def known(self, peer: Peer, known: bool) -> None:
         """Keep who has not said what it is apart; of a zone's collectors the longest silent goes."""
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -77,7 +77,7 @@
         self.known = known  # told when the peer says what it is, and when it is nobody again
         self.proxy: int | None = None
         self.zone: int | None = None  # of a collector
-        self.since = self.heard_at = asyncio.get_running_loop().time()  # it is what it is; it last spoke
+        self.since = self.heard_at = asyncio.get_running_loop().time()  # it is a stranger; it last spoke
         self.splitter = Splitter()
         self.heard = 0  # messages
         self.left_out = 0  # of them, as they could not be used
@@ -117,7 +117,7 @@
                     return
             if self.splitter.overrun:
                 self.end(f"after message {self.heard}: a line over {self.splitter.limit} bytes")
-            elif self.splitter.held and (refused := begun(bytes(self.splitter.held))) is not None:
+            elif self.splitter.held and (refused := begun(self.splitter.held)) is not None:
                 self.end(f"after message {self.heard}: {refused.reason}")
             self.account()
             if self.ended:
@@ -195,7 +195,6 @@
 
     def introduced(self) -> None:
         self.splitter.limit = MOST_BYTES
-        self.since = asyncio.get_running_loop().time()
         self.known(self, True)
 
     def superseded(self) -> None:
--- a/tests/planner.py
+++ b/tests/planner.py
@@ -8,7 +8,7 @@
 import os
 import signal
 import sys
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -17,6 +17,15 @@
 MOST = 30.0  # seconds that any one thing may take
 
 
+def run(work: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(work, 120))
+
+
+def full(servers: set[str]) -> Any:
+    """Holds those servers, and no others, for all classes."""
+    return lambda tables: all(set(tables.open_lines(name)) == servers for name in tables.classes)
+
+
 class Connection:
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -3,12 +3,11 @@
 import asyncio
 import json
 import signal
-from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
 import pytest
-from planner import MOST, PlannerProcess, running, start
+from planner import MOST, PlannerProcess, full, run, running, start
 from standins import Discovery, config, free_port
 
 from stackwheel.state.module import ListFailed
@@ -16,14 +15,6 @@
 from stackwheel.wire import discovery as wire
 
 
-def run(work: Coroutine[Any, Any, None]) -> None:
-    asyncio.run(asyncio.wait_for(work, 120))
-
-
-def holds(*servers: str) -> Any:
-    return lambda tables: all(set(tables.open_lines(name)) == set(servers) for name in tables.classes)
-
-
 async def another(*servers: str, generation: int = 1) -> Discovery:
     found = Discovery()
     await found.start()
@@ -52,13 +43,13 @@
         second = await another("s-0", "s-1", "s-9", generation=7)
         async with running(tmp_path) as planner:
             proxy = await planner.join(0)
-            await proxy.until(holds("s-0", "s-1", "s-2", "s-3"))
+            await proxy.until(full({"s-0", "s-1", "s-2", "s-3"}))
             proxy.tables.servers.add("s-9")
             reload(planner, tmp_path, discovery=second.address)
-            await proxy.until(holds("s-0", "s-1", "s-9"))
+            await proxy.until(full({"s-0", "s-1", "s-9"}))
             await planner.discovery.shut()
             await second.update("s-1", lifecycle="terminated")
-            await proxy.until(holds("s-0", "s-9"))
+            await proxy.until(full({"s-0", "s-9"}))
             code, log = await planner.stop()
             assert code == 0 and "failed" not in log and "closed" not in log and "Traceback" not in log
             assert "configuration reloaded; changed: discovery" in log
@@ -80,11 +71,11 @@
     async def work() -> None:
         async with running(tmp_path) as planner:
             proxy = await planner.join(0)
-            await proxy.until(holds("s-0", "s-1", "s-2", "s-3"))
+            await proxy.until(full({"s-0", "s-1", "s-2", "s-3"}))
             reload(planner, tmp_path, text)
             await logged(planner, "configuration not reloaded")
             await planner.discovery.update("s-3", lifecycle="terminated")
-            await proxy.until(holds("s-0", "s-1", "s-2"))
+            await proxy.until(full({"s-0", "s-1", "s-2"}))
             reload(planner, tmp_path, text)
             await asyncio.sleep(0.2)
             code, log = await planner.stop()
@@ -98,12 +89,12 @@
         second = await another("s-0", "s-9")
         async with running(tmp_path) as planner:
             proxy = await planner.join(0)
-            await proxy.until(holds("s-0", "s-1", "s-2", "s-3"))
+            await proxy.until(full({"s-0", "s-1", "s-2", "s-3"}))
             proxy.tables.servers.add("s-9")
             listen, settings = planner.config["listen"], {**planner.config["settings"], "tick": 3.0}
             reload(planner, tmp_path, discovery=second.address, settings=settings,
                    listen=f"127.0.0.1:{free_port()}", limits={"memory_mb": 64, "sockets": 512})
-            await proxy.until(holds("s-0", "s-9"))
+            await proxy.until(full({"s-0", "s-9"}))
             planner.config["listen"] = listen
             await planner.ready()
             _, log = await planner.stop()
@@ -119,13 +110,13 @@
         second.troubles = ["silence"]  # the call is still open when the next file comes
         async with running(tmp_path) as planner:
             proxy = await planner.join(0)
-            await proxy.until(holds("s-0", "s-1", "s-2", "s-3"))
+            await proxy.until(full({"s-0", "s-1", "s-2", "s-3"}))
             proxy.tables.servers |= {"s-8", "s-9"}
             reload(planner, tmp_path, discovery=second.address)
             while not second.calls:
                 await asyncio.sleep(0.01)
             reload(planner, tmp_path, discovery=third.address)
-            await proxy.until(holds("s-0", "s-9"))
+            await proxy.until(full({"s-0", "s-9"}))
             reload(planner, tmp_path, discovery=second.address)
             planner.process.send_signal(signal.SIGTERM)
             code, log = await planner.stop()
@@ -140,14 +131,14 @@
         second.troubles = ["503"]
         async with running(tmp_path) as planner:
             proxy = await planner.join(0)
-            await proxy.until(holds("s-0", "s-1", "s-2", "s-3"))
+            await proxy.until(full({"s-0", "s-1", "s-2", "s-3"}))
             proxy.tables.servers.add("s-9")
             reload(planner, tmp_path, discovery=second.address)
             while not second.calls:
                 await asyncio.sleep(0.01)
             await planner.discovery.update("s-3", lifecycle="terminated")  # told by the old address
-            await proxy.until(holds("s-0", "s-1", "s-2"))
-            await proxy.until(holds("s-0", "s-9"))
+            await proxy.until(full({"s-0", "s-1", "s-2"}))
+            await proxy.until(full({"s-0", "s-9"}))
             assert second.calls == ["503", "served"]
 
     run(work())
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -5,24 +5,13 @@
 import os
 import signal
 import socket
-from collections.abc import Coroutine
 from pathlib import Path
-from typing import Any
 
 import pytest
-from planner import MOST, running, start
+from planner import MOST, full, run, running, start
 from standins import Discovery, Tables, config, free_port
 
 
-def run(work: Coroutine[Any, Any, None]) -> None:
-    asyncio.run(asyncio.wait_for(work, 120))
-
-
-def full(servers: set[str]) -> Any:
-    """Holds those servers, and no others, for all classes."""
-    return lambda tables: all(set(tables.open_lines(name)) == servers for name in tables.classes)
-
-
 def test_a_proxy_gets_its_tables_and_their_changes(tmp_path: Path) -> None:
     async def work() -> None:
         async with running(tmp_path) as planner:
