Let clock, listener, configuration and signals come from outside; list order no longer hashes

Cause: the network code could not run on a virtual clock, as Clock, the listener and SIGHUP were taken from the system where used, and the order of gone servers hung on PYTHONHASHSEED. Change: Service takes its Surroundings; Links its listener; gone servers and peers are kept in order of coming.

--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -5,18 +5,21 @@
 import asyncio
 import gc
 import signal
-from dataclasses import replace
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
 from stackwheel.interface import Settings
-from stackwheel.service.config import Config
+from stackwheel.service.config import Config, ConfigError, load_config
 from stackwheel.service.reload import Reload
 from stackwheel.state.clock import Clock
 from stackwheel.state.ids import Ids
 from stackwheel.state.module import Module
 from stackwheel.state.roster import Roster
-from stackwheel.wire.links import Links
+from stackwheel.wire.links import Links, stand_open
 from stackwheel.wire.timing import JITTER, stream_silence
 
 
@@ -32,24 +35,62 @@
     return replace(settings, message_window=max(0.0, settings.message_window - JITTER))
 
 
-async def serve(config: Config) -> None:
-    """Answer and decide until cancelled; OSError if an address can't be had."""
-    if config.absent:
-        logger.warning("settings not given, so at their defaults: {}", ", ".join(config.absent))
-    clock = Clock()
-    roster = Roster(config.names.zones, config.names.kinds, Ids())
-    roster.apply(config.known)
-    links = Links(config.addresses, config.settings, config.names, roster, clock)
-    module = Module(on_sockets(config.settings), config.names.tick, config.seed, clock, roster, links,
-                    silence(config.settings))
-    module.decide([roster.cached()])  # known first; whoever connects finds a planner that is ready
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What the process stands in: clocks, listener, configuration and signals, as the system gives them.
+
+    A trial hands in its own, so that what runs there is this very service.
+    """
+
+    wall: Callable[[], float] = time.time  # s
+    steady: Callable[[], float] = time.monotonic  # s
+    listen_at: Callable[[str], socket.socket] = stand_open
+    load: Callable[[], Config | ConfigError] = load_config
+    settle: Callable[[], None] = lambda: None  # once all that stays has been made
+    signals_on: Callable[[], None] = lambda: None  # once signals find somebody who hears them
+
+
+def settle_memory() -> None:
+    """What stands by now stays: no collection walks it again."""
     gc.collect()
-    gc.freeze()  # what stands by now stays: no collection walks it again
-    await links.open(module.post)
-    logger.info("ready on {}, {} servers known of list {}", config.addresses.listen, len(roster.entries),
-                roster.generation)
-    reload = Reload(config, links.readdress)
-    links.keep(reload.run())
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload.ask)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came during the start counts now
-    await module.run()
+    gc.freeze()
+
+
+def unblock_reload() -> None:
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+
+
+PROCESS = Surroundings(settle=settle_memory, signals_on=unblock_reload)
+
+
+class Service:
+    """One planner's parts, put together and not yet started."""
+
+    def __init__(self, config: Config, around: Surroundings = PROCESS) -> None:
+        self.config, self.around = config, around
+        self.clock = Clock(around.wall, around.steady)
+        self.roster = Roster(config.names.zones, config.names.kinds, Ids())
+        self.roster.apply(config.known)
+        self.links = Links(config.addresses, config.settings, config.names, self.roster, self.clock,
+                           around.listen_at)
+        self.module = Module(on_sockets(config.settings), config.names.tick, config.seed, self.clock,
+                             self.roster, self.links, silence(config.settings))
+        self.reload = Reload(config, self.links.readdress, around.load)
+
+    async def run(self) -> None:
+        """Answer and decide until cancelled; OSError if an address can't be had."""
+        if self.config.absent:
+            logger.warning("settings not given, so at their defaults: {}", ", ".join(self.config.absent))
+        self.module.decide([self.roster.cached()])  # known first; who connects finds a planner that is ready
+        self.around.settle()
+        await self.links.open(self.module.post)
+        logger.info("ready on {}, {} servers known of list {}", self.config.addresses.listen,
+                    len(self.roster.entries), self.roster.generation)
+        self.links.keep(self.reload.run())
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload.ask)
+        self.around.signals_on()  # one that came during the start counts now
+        await self.module.run()
+
+
+async def serve(config: Config) -> None:
+    await Service(config).run()
--- a/stackwheel/state/roster.py
+++ b/stackwheel/state/roster.py
@@ -50,12 +50,12 @@
         """Take a listing in; the event that tells the policy of it."""
         entries = [entry for instance in listing.instances if (entry := self.entry(instance)) is not None]
         present = {e.server: e for e in entries if e.availability is not Availability.GONE}
-        gone = {e.server for e in entries if e.availability is Availability.GONE}
+        gone = dict.fromkeys(e.server for e in entries if e.availability is Availability.GONE)
         if listing.whole:
-            gone |= self.entries.keys() - present.keys()
+            gone |= dict.fromkeys(s for s in self.entries if s not in present)
         self.entries = {s: e for s, e in {**({} if listing.whole else self.entries), **present}.items()
                         if s not in gone}
-        self.returned |= gone | {s for s, e in present.items()
+        self.returned |= gone.keys() | {s for s, e in present.items()
                                  if e.started > 0 or e.availability is Availability.DRAINING}
         for server in gone:
             self.gone[server] = None
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -37,13 +37,21 @@
     memory_mb: float
 
 
+def stand_open(address: str) -> socket.socket:
+    """A listener that never blocks; OSError if the address can't be had."""
+    listener = socket.create_server(split_address(address), backlog=timing.LISTEN_BACKLOG)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, timing.RECEIVE_BUFFER)
+    listener.setblocking(False)
+    return listener
+
+
 class Links:
     """The module's outside, on this protocol."""
 
     def __init__(self, addresses: Addresses, settings: Settings, names: Names, roster: Roster,
-                 clock: Clock) -> None:
+                 clock: Clock, listen_at: Callable[[str], socket.socket] = stand_open) -> None:
         self.addresses, self.settings, self.names = addresses, settings, names
-        self.roster, self.clock = roster, clock
+        self.roster, self.clock, self.listen_at = roster, clock, listen_at
         self.encoder = Encoder(names, roster.ids)
         self.discovery = Discovery(addresses.discovery, roster.generation, not settings.list_on_request,
                                    lambda item: self.post(item))
@@ -51,7 +59,7 @@
                                    lambda item: self.post(item))
         self.strangers: dict[Peer, None] = {}  # the first to come first
         self.arriving = 0  # connections taken, but not attended yet
-        self.peers: set[Peer] = set()  # all connections that are attended
+        self.peers: dict[Peer, None] = {}  # all connections that are attended, the first to come first
         self.collectors: dict[int, list[Peer]] = {}  # of each zone; the older ones are heard too
         self.paces: dict[int, Pace] = {}  # of proxies, whatever connection they have
         self.waiting = Waiting(timing.waiting_most(addresses.memory_mb))
@@ -66,10 +74,7 @@
             await loop.create_datagram_endpoint(lambda: self.datagrams,
                                                 local_addr=split_address(self.addresses.peer_listen))
         self.keep(self.discovery.run())
-        listener = socket.create_server(split_address(self.addresses.listen), backlog=timing.LISTEN_BACKLOG)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, timing.RECEIVE_BUFFER)
-        listener.setblocking(False)
-        self.keep(self.listen(listener))
+        self.keep(self.listen(self.listen_at(self.addresses.listen)))
         self.keep(self.sweep())
 
     def readdress(self, addresses: Addresses) -> None:
@@ -134,12 +139,12 @@
             self.arriving -= 1
         peer = Peer(reader, writer, self.names, self.settings.proxies, self.post, self.known,
                     self.pace, self.waiting, lambda server: self.roster.ids.name(server) is not None)
-        self.peers.add(peer)
+        self.peers[peer] = None
         self.known(peer, False)
         try:
             await peer.run()
         finally:
-            self.peers.discard(peer)
+            self.peers.pop(peer, None)
             self.strangers.pop(peer, None)
             if peer.zone is not None:
                 self.collectors[peer.zone].remove(peer)
