Older generations bring nothing back: drains and departures told before hold

Change: of changes in an older generation only drains, departures, unknown servers and newer processes count; a watch goes on from the newest generation it heard.

--- a/stackwheel/cli/trial.py
+++ b/stackwheel/cli/trial.py
@@ -16,7 +16,7 @@
 from stackwheel.trials import measure as sizes
 from stackwheel.trials.defects import DEFECTS, DefectChunk, found_by, named, planted
 from stackwheel.trials.draw import draw
-from stackwheel.trials.runner import SeedResult, Summary, by_rule, default_jobs, run_seeds
+from stackwheel.trials.runner import SeedResult, Summary, by_rule, default_jobs, run_seed, run_seeds
 from stackwheel.trials.script import Script, ScriptError, encode, load, words
 from stackwheel.trials.shrink import RUNS_MOST, Shrinker
 from stackwheel.trials.world import Result, run_script
@@ -196,13 +196,18 @@
     return 0 if all(row["rule"] for row in rows) else 1
 
 
+def broken_anyway(seed: int) -> set[Rule]:
+    """What a seed breaks without any defect: that proves nothing of one."""
+    return {verdict.rule for verdict in run_seed(seed).verdicts}
+
+
 def first_found(name: str, seeds: Iterable[int], jobs: int) -> tuple[SeedResult | None, int]:
     defect = named(name)
     assert defect is not None
     results = run_seeds(list(seeds), jobs, DefectChunk(name))
     try:
         for needed, result in enumerate(results, 1):
-            if found_by(defect, result):
+            if (rules := found_by(defect, result)) and not rules <= broken_anyway(result.seed):
                 return result, needed
     finally:
         results.close()  # type: ignore[attr-defined]
--- a/stackwheel/state/roster.py
+++ b/stackwheel/state/roster.py
@@ -9,7 +9,7 @@
 
 from stackwheel import interface as face
 from stackwheel.interface import Availability, ListScope, Server, ServerEntry
-from stackwheel.state.ids import Ids
+from stackwheel.state.ids import Ids, digest
 
 GONE_LEAST, GONE_SHARE = 64, 2  # gone servers kept: this times the listed, as the policy does
 
@@ -48,6 +48,7 @@
 
     def apply(self, listing: Listing) -> face.ServerList:
         """Take a listing in; the event that tells the policy of it."""
+        listing = self.newer(listing)
         entries = [entry for instance in listing.instances if (entry := self.entry(instance)) is not None]
         present = {e.server: e for e in entries if e.availability is not Availability.GONE}
         gone = dict.fromkeys(e.server for e in entries if e.availability is Availability.GONE)
@@ -66,6 +67,21 @@
         scope = ListScope.WHOLE if listing.whole else ListScope.CHANGES
         return face.ServerList(scope, listing.generation, tuple(entries))
 
+    def newer(self, listing: Listing) -> Listing:
+        """Of changes in an older generation than is known, what still counts: drains and departures, servers
+        not known yet and new processes. Anything else would bring back what has left since."""
+        if listing.whole or listing.generation >= self.generation:
+            return listing
+        kept = tuple(one for one in listing.instances if self.counts(one))
+        return Listing(self.generation, False, kept)
+
+    def counts(self, instance: Instance) -> bool:
+        server = digest(instance.name)
+        known = self.entries.get(server)
+        if instance.availability is not Availability.READY:
+            return True
+        return instance.started > known.started if known is not None else server not in self.gone
+
     def entry(self, instance: Instance) -> ServerEntry | None:
         if instance.zone not in self.zones:
             logger.warning("discovery lists {} in unknown zone {}; left out", instance.name, instance.zone)
--- a/stackwheel/trials/planners.py
+++ b/stackwheel/trials/planners.py
@@ -11,6 +11,7 @@
 from stackwheel.service.config import Config, ConfigError, read_config
 from stackwheel.trials.loop import Machine
 from stackwheel.trials.network import Address
+from stackwheel.wire.peer import Peer
 
 if TYPE_CHECKING:
     from stackwheel.trials.world import World
@@ -140,6 +141,12 @@
         stream = self.service.module.streams.by_proxy.get(proxy)
         return next(reversed(stream.marks), None) if stream is not None else None
 
+    def unsent(self, proxy: int) -> int:
+        """Bytes for a proxy that still wait in the planner."""
+        assert self.service is not None
+        stream = self.service.module.streams.by_proxy.get(proxy)
+        return stream.line.unsent if stream is not None and isinstance(stream.line, Peer) else 0
+
     def figures(self) -> Iterator[tuple[str, float, float]]:
         """What it keeps for others, and the most there may be of it."""
         assert self.service is not None
--- a/stackwheel/trials/script.py
+++ b/stackwheel/trials/script.py
@@ -99,6 +99,7 @@
     span: Time
     times: Annotated[int, Meta(ge=1, le=1000)] = 1
     every: Time = 2.0
+    deaf: bool = False  # proxies do not even read what arrives
 
 
 class Cut(Event, frozen=True):
--- a/stackwheel/wire/discovery.py
+++ b/stackwheel/wire/discovery.py
@@ -219,7 +219,7 @@
             if self.watching is not None:
                 self.watching.cancel()
             self.watching, self.successor = self.successor, None
-        self.generation = found.generation
+        self.generation = found.generation if found.whole else max(self.generation, found.generation)
         logger.info("list {}: {} {} instances", found.generation, "all" if found.whole else "changed",
                     len(found.instances))
         self.post(found)
