Changes and whole tables on the cap's reserve lie apart, by zone and by proxy

Change: what goes beyond changes' share of the cap lies span over (reserve + 1) apart, for a zone's changes and for a proxy's whole tables; changes within a tenth of the grace are joined.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -32,6 +32,7 @@
 PANIC_SHARE, TRICKLE, HOLD, HOLD_MOST = 0.4, 0.05, 3.0, 16.0  # ejected: most, even share left, cycles up to
 PACE, PACE_SPAN = 0.4, 2.0  # of the stated rate, for changes; cycles of it for one zone's in one go
 BUSY, FULL, DELTA_MESSAGES = 0.25, 0.8, 0.6  # of the backlog: add to no queue over; nor beyond; of the cap
+CLOSE = 0.1  # of the drain grace: what comes sooner after a message to a proxy waits for the next
 WITHDRAW_AFTER, AWAY_MOST = 0.4, 2  # of the drain grace, waiting for tables; remembered, of the fleet
 SLOWEST, LATE, MARKS = 0.2, 0.6, 1 << 16  # of its rate, if unheard; of a full queue's time: slowed; marks
 SLOW_AIMS, SLOW_CALM, FULL_USE = 0.3, 1.7, 0.92  # half of the traffic as slow; of what is answered
@@ -124,10 +125,15 @@
         ordered = self.queued + sum(lines.values()) + len(lines) * self.head
         return (self.settings.backlog or math.inf) * share - ordered
 
-    def may_write(self, proxy: int, share: float) -> bool:
+    def may_write(self, proxy: int, share: float, apart: float = 0.0) -> bool:
         recent = [at for at in self.written.get(proxy, []) if at > self.at - self.settings.message_window]
         self.written[proxy], cap = recent, self.settings.message_cap
-        return not cap or len(recent) + 1 <= max(1.0, cap * share)
+        spread = not recent or self.at - recent[-1] >= apart
+        return not cap or (spread and len(recent) + 1 <= max(1.0, cap * share))
+
+    def apart(self) -> float:
+        """How far changes lie apart that use the rest of the cap: else the next drain waits for its end."""
+        return self.settings.message_window / max(1.0, self.settings.message_cap * (1 - DELTA_MESSAGES) + 1)
 
     def charge(self, lines: dict[int, int]) -> list[Action]:
         """Book the messages of a reply; the mark tells when they have arrived."""
@@ -472,9 +478,12 @@
         usual *= self.outbox.allowance > 0 and not (self.outbox.slowed and self.outbox.queued > 0)
         full = self.outbox.room(self.lines, FULL) / each - self.outbox.head - len(tables) * news
         most = int(bounded(max(pressing, usual), 0, max(0, full)))
-        kept = moves and moves[0][0] <= COLD and self.slot_at == self.now  # a reserve for the rules, in slots
-        share = 1.0 if kept else DELTA_MESSAGES
-        fits = full > 0 and self.outbox.room(self.lines, BUSY) > 0 and all(
+        kept = moves and moves[0][0] <= COLD  # for the rules: a reserve of the cap
+        since = self.now - self.written[zone]
+        share = 1.0 if kept and since >= self.outbox.apart() else DELTA_MESSAGES
+        capped = self.settings.message_cap > 0 and self.slot_at < self.now  # what comes close is joined
+        close = capped and since < CLOSE * self.settings.drain_grace
+        fits = full > 0 and not close and self.outbox.room(self.lines, BUSY) > 0 and all(
             self.outbox.may_write(u, share) for u in users if u not in self.lines)
         chosen = moves[:most] if fits else []
         self.urgent |= sum(1 for move in chosen if move[0] < LATER) < pressing
@@ -510,7 +519,8 @@
     def bind_joined(self) -> None:
         """A proxy that joined gets its zone's whole tables in place of the standing ones; busiest first."""
         waiting = [(-sum(p.demand), number) for number, p in self.proxies.items()
-                   if not p.bound and self.outbox.may_write(number, 1.0)]
+                   if not p.bound and (self.outbox.may_write(number, DELTA_MESSAGES)
+                                       or self.outbox.may_write(number, 1.0, self.outbox.apart()))]
         for _, number in sorted(waiting):
             proxy = self.proxies[number]
             tables = [self.table_for((proxy.zone, place)) for place in self.places]
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -199,6 +199,8 @@
 
     def superseded(self) -> None:
         """Another connection speaks for its proxy now: this one is nobody's, and may end."""
+        if self.ended:  # it is gone already, only the module has not heard so
+            return
         self.splitter.limit = FIRST_BYTES
         self.since = asyncio.get_running_loop().time()
         self.known(self, False)
