--- a/stackwheel/files/disk.py
+++ b/stackwheel/files/disk.py
@@ -6,15 +6,19 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import os
 import stat
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import PurePosixPath
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from stackwheel.files.codec import SIZE_MOST, Refusal, Stage
 
+T = TypeVar("T")
+
 SUFFIX, PART = ".table", ".part"
 NAME_MOST = 120
 
@@ -133,11 +137,9 @@
         return SwapFailed(step, error.strerror or str(error))
 
 
-def quietly(call: object, argument: object) -> None:
-    try:
-        call(argument)  # type: ignore[operator]
-    except OSError:
-        pass  # what can't be cleaned up is overwritten by the next swap
+def quietly(call: Callable[[T], None], argument: T) -> None:
+    with contextlib.suppress(OSError):  # what can't be cleaned up is overwritten by the next swap
+        call(argument)
 
 
 def join(folder: str, name: str) -> str:
--- a/stackwheel/files/prevail.py
+++ b/stackwheel/files/prevail.py
@@ -6,10 +6,10 @@
    it back, or a source that prevails lists it after the telling. A drain told by file binds while a stream is half
    open, and the other way round.
 2. A stream that is heard and has ordered whole tables prevails. A new one prevails once it has ordered them.
-3. Else the files of the planner that prevails already, while they are fresh; else those made last among the fresh.
-   A stream's tables count as made when its last order was applied: older files do not take their place.
-4. What is over its time is kept for `keep` ms at most. Then `after` holds: `even` spreads over all servers known and not
-   out, by even weights; `refuse` holds nothing, and says so.
+3. Else the files of the planner that prevails already, while they are fresh; else those made last among the
+   fresh. A stream's tables count as made when its last order was applied: older files do not take their place.
+4. What is over its time is kept for `keep` ms at most. Then `after` holds: `even` spreads over all servers known
+   and not out, by even weights; `refuse` holds nothing, and says so.
 """
 
 from __future__ import annotations
--- a/stackwheel/files/push.py
+++ b/stackwheel/files/push.py
@@ -1,7 +1,7 @@
 """When which file goes to which folder: pacing, further attempts, what is under way, what was confirmed. No I/O.
 
-One target is one folder's file of one name. The newest content waits in place of older that has not gone: nothing queues up
-behind a slow disk. Attempts that failed are repeated with a doubling wait and full jitter.
+One target is one folder's file of one name. The newest content waits in place of older that has not gone: nothing
+queues up behind a slow disk. Attempts that failed are repeated with a doubling wait and full jitter.
 """
 
 from __future__ import annotations
--- a/stackwheel/files/records.py
+++ b/stackwheel/files/records.py
@@ -1,8 +1,8 @@
-"""What a file says, as typed records. Times are Unix milliseconds, spans milliseconds; `docs/files.md` is the format."""
+"""What a file says, as typed records. Times are Unix ms, spans ms; `docs/files.md` is the format."""
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from typing import Annotated
 
 import msgspec
 from msgspec import Meta, Struct
