Move tables once for an urgent cause, not with each batch until its lines have gone

Cause: while urgent lines found no room in the message cap, each batch moved every table by another step of 20%, so the design's capped step a slot was none; in a jam tables swung. Change: a cause moves the tables once; lines that wait are only tried again.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -153,6 +153,7 @@
         self.mean_aim = sum(c.aim for c in settings.classes) / max(1, len(settings.classes))
         self.now, self.slot, self.slot_at = 0.0, 0, -math.inf
         self.reported = self.urgent = False  # there are figures; some line must be right at once
+        self.held = False  # such a line has not gone out yet
         self.actions: list[Action] = []
         self.lines: dict[int, int] = {}  # written in this reply, by proxy
         self.servers: dict[Server, ServerView] = {}
@@ -175,8 +176,9 @@
         due = [self.take(event) for event in events].count(True) > 0 or starting
         if due or (self.reported and now - self.slot_at >= 0.6 * self.settings.cycle):
             self.run_slot()
-        elif self.urgent and self.outbox.room(self.lines, BUSY) > 0:
-            self.move_tables()
+        elif (self.urgent or self.held) and self.outbox.room(self.lines, BUSY) > 0:
+            if self.urgent:  # once for its cause: a step each batch that finds no room is no capped step
+                self.move_tables()
             self.send_changes()
         self.bind_joined()
         self.withdraw_away()
@@ -463,7 +465,8 @@
         return {s: share for s, share in shares.items() if share >= LEAST_SHARE or s in out}
 
     def send_changes(self) -> None:
-        self.urgent = False  # zones in turn, the least lately written first, so that none starves another
+        self.urgent = self.held = False
+        # zones in turn, the least lately written first, so that none starves another
         for zone in sorted({zone for zone, _ in self.tables}, key=lambda z: (self.written[z], z)):
             self.send_zone(zone, [table for table in self.tables.values() if table.zone == zone])
 
@@ -486,7 +489,7 @@
         fits = full > 0 and not close and self.outbox.room(self.lines, BUSY) > 0 and all(
             self.outbox.may_write(u, share) for u in users if u not in self.lines)
         chosen = moves[:most] if fits else []
-        self.urgent |= sum(1 for move in chosen if move[0] < LATER) < pressing
+        self.held |= sum(1 for move in chosen if move[0] < LATER) < pressing
         if chosen or (news and usual and fits):
             for place, table in enumerate(tables):
                 self.write(table, users, {s: w for _, _, at, s, w in chosen if at == place}, levels[place])
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -533,3 +533,25 @@
         desk.send(*(face.ServerReport(0, name(n), 8, 0, 90.0, 1000.0, (0.4,)) for n in range(4)),
                   face.DemandReport(0, 0, 15, 0, 1000.0), face.DemandReport(0, 1, 15, 0, 1000.0), wait=1000.0)
     assert desk.planner.demand(0) == pytest.approx([15.0, 15.0], rel=0.01)  # it never told of any
+
+
+def test_tables_move_once_for_an_urgent_cause_however_long_its_lines_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each batch that found no room moved all tables a further step: in a jam the capped step of a slot was no cap."""
+    desk = Desk(servers=[entry(n, 0) for n in range(6)], proxies=((0, 0),), message_cap=4, message_window=10000.0)
+    desk.slots(3)
+    desk.planner.outbox.written[0] = [desk.now] * 4  # nothing may be written for a while
+    moved = 0
+    honest = desk.planner.move_tables
+
+    def move() -> None:
+        nonlocal moved
+        moved += 1
+        honest()
+
+    monkeypatch.setattr(desk.planner, "move_tables", move)
+    desk.listed(entry(5, state=GONE))
+    for _ in range(20):
+        desk.send(face.DemandReport(0, 0, 1, 0, 1000.0), wait=10.0)
+    assert moved == 1
+    desk.send(wait=10_000.0)
+    assert name(5) not in desk.table(0)
