--- a/stackwheel/operators/notation.py
+++ b/stackwheel/operators/notation.py
@@ -8,8 +8,8 @@
     }
     files: pace: least: 200                  // the same record once more: both hold
 
-Types are `string`, `int`, `number`, `bool`, `bytes` counts as `string`; `#Name: {...}` defines a record to be named elsewhere;
-`field?:` need not be given; `...` leaves a record open for fields of any name.
+Types are `string`, `int`, `number` and `bool`; `#Name: ...` defines what may be named elsewhere; `field?:` need not be
+given; `...` leaves a record open for fields of any name; `Ki`, `Mi`, `Gi`, `K`, `M`, `G` stand behind numbers.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 from functools import lru_cache
 from typing import TypeAlias
 
-from lark import Lark, Token, Transformer, UnexpectedCharacters, UnexpectedEOF, UnexpectedToken, v_args
+from lark import Lark, Token, Transformer, UnexpectedCharacters, UnexpectedEOF, UnexpectedToken
 from lark.exceptions import VisitError
 
 SIZE_MOST = 1 << 20  # bytes of a file
@@ -27,7 +27,7 @@
 
 GRAMMAR = r"""
 start: _sep? (member (_sep member)* _sep?)?
-_sep: /[,\n][,\s]*/
+_sep: _SEP+
 member: field | ELLIPSIS -> ellipsis
 field: label OPTIONAL? ":" _nl? (expr | field)
 label: IDENT | DEFINITION | STRING
@@ -38,7 +38,9 @@
 record: "{" _sep? (member (_sep member)* _sep?)? "}"
 list: "[" _nl? (expr (_sep expr)* _sep?)? "]"
 scalar: NUMBER | STRING | IDENT | DEFINITION
-_nl: /\n\s*/
+_nl: _NL+
+_SEP: /[,\n][,\s]*/
+_NL: /\n\s*/
 ELLIPSIS: "..."
 OPTIONAL: "?"
 STAR: "*"
@@ -207,7 +209,7 @@
 
     def list(self, children: list[object]) -> Items:
         values = tuple(plain(c) for c in children)
-        place = values[0].place if values else Place(1, 1)  # type: ignore[union-attr]
+        place = next((v.place for v in values), Place(1, 1))  # type: ignore[attr-defined]
         return Items(values, place)  # type: ignore[arg-type]
 
     start = record
--- a/stackwheel/operators/schema.py
+++ b/stackwheel/operators/schema.py
@@ -32,7 +32,7 @@
         silence: #Milliseconds & >=500 | *3000  // a stream unheard of for so long does not prevail
         life:    #Milliseconds | *30000         // of its tables from then on
         keep:    #Milliseconds | *10000         // of tables that are over their time
-        after:   "even" | "refuse" | *"even"    // then
+        after:   *"even" | "refuse"             // then
     }
 }
 """
--- a/stackwheel/operators/unify.py
+++ b/stackwheel/operators/unify.py
@@ -106,9 +106,9 @@
 
 
 def shown(value: Plain) -> str:
-    text = {True: "true", False: "false", None: "null"}.get(value) if not isinstance(value, str | int | float) or (
-        isinstance(value, bool)) else None
-    return text or (f'"{value}"' if isinstance(value, str) else f"{value:g}" if isinstance(value, float) else str(value))
+    if value is None or isinstance(value, bool):
+        return {True: "true", False: "false", None: "null"}[value]
+    return f'"{value}"' if isinstance(value, str) else f"{value:g}" if isinstance(value, float) else str(value)
 
 
 def expected(narrowed: Narrowed) -> str:
@@ -184,24 +184,28 @@
             assert isinstance(claim.value, Either)
             fit = [v for v in claim.value.values if isinstance(v, Record if records else Items)]
             if not fit:
-                raise UnifyError(claim.source.at(claim.value.place), path, "no choice fits")
+                blamed = next((c for c in records + items if c.source is not self.sources[0]), claim)
+                raise UnifyError(blamed.source.at(blamed.value.place), path,
+                                 f"{self.named(blamed.value)} found, {self.words(claim.value)} expected")
             (records if records else items).insert(0, replace_value(claim, fit[0]))
         if records and items:
-            raise UnifyError(items[0].source.at(items[0].value.place), path, "a record was expected")
+            blamed = max(records + items, key=lambda c: self.sources.index(c.source))
+            raise UnifyError(blamed.source.at(blamed.value.place), path,
+                             f"{self.named(blamed.value)} found, a {'list' if blamed in records else 'record'} expected")
         if records:
             return self.record(path, records)
         given = [c for c in items if c.source is not self.sources[0]] or items
         shape = next((c for c in items if c.source is self.sources[0]), None)
         last = given[-1]
         assert isinstance(last.value, Items)
+        if shape is last:  # a list in the schema tells what its items are, and holds none
+            return []
         found: list[Tree] = []
         for at, one in enumerate(last.value.values):
             claims = [replace_value(last, one)]
             if shape is not None and shape is not last and isinstance(shape.value, Items) and shape.value.values:
                 claims.insert(0, replace_value(shape, shape.value.values[0]))
             found.append(self.value(f"{path}[{at}]", claims))
-        if shape is last:  # a list in the schema tells what its items are, and holds none
-            return []
         return found
 
     def parts(self, path: str, claim: Claim, depth: int = 0) -> Iterable[Claim]:
@@ -271,8 +275,7 @@
             raise UnifyError(self.sources[0].name, path, "nothing says what it is")
         origin = choices[0] if choices else (narrowed.kinds or narrowed.bounds)[0][1]
         name = origin.source.at(origin.value.place) if origin.source is not self.sources[0] else self.sources[-1].name
-        words = " | ".join(self.named(v) for c in choices for v in c.value.values) if choices else (  # type: ignore[union-attr]
-            expected(narrowed))
+        words = " & ".join(self.words(c.value) for c in choices) if choices else expected(narrowed)
         raise UnifyError(name, path, f"not given; {words} expected")
 
     def allowed(self, path: str, narrowed: Narrowed, claim: Claim) -> None:
@@ -285,8 +288,15 @@
             except UnifyError:
                 continue
             return
-        words = " | ".join(self.named(value) for value in claim.value.values)
-        raise UnifyError(narrowed.leaf.origin, path, f"{shown(narrowed.leaf.value)} found, {words} expected")
+        raise UnifyError(narrowed.leaf.origin, path,
+                         f"{shown(narrowed.leaf.value)} found, {self.words(claim.value)} expected")
+
+    def words(self, value: Value) -> str:
+        """The choices, without a default that the others allow anyway."""
+        assert isinstance(value, Either)
+        told = [v for at, v in enumerate(value.values) if at != value.default or isinstance(v, Record | Items) or all(
+            isinstance(other, Scalar) for other in value.values)]
+        return " | ".join(dict.fromkeys(self.named(one) for one in told))
 
     def named(self, value: Value) -> str:
         match value:
