Exchange tables and answers by files on the virtual clock; the service composes what operators turn on

Change: files/ledger, desk, reader, memory (the planner's and the forwarder's actors), service/extras from the operators' file, trials/exchange with late, doubled, torn and old pushes and failing disks.

--- a/stackwheel/cli/trial.py
+++ b/stackwheel/cli/trial.py
@@ -5,6 +5,7 @@
 import json
 import time
 from collections.abc import Iterable, Sequence
+from contextlib import nullcontext
 from pathlib import Path
 
 import click
@@ -146,15 +147,18 @@
 @click.option("--rule", type=click.Choice([r.name.lower() for r in Rule]),
               help="The rule; the first broken if not given.")
 @click.option("--runs", type=click.IntRange(1, 100_000), default=RUNS_MOST, show_default=True, help="Trials at most.")
-def shrink(what: str, out: Path, rule: str | None, runs: int) -> int:
+@click.option("--defect", type=click.Choice([d.name for d in DEFECTS]), help="With a deliberate defect planted.")
+def shrink(what: str, out: Path, rule: str | None, runs: int, defect: str | None) -> int:
     """Find the smallest script that still breaks the same rule, and save it."""
     script = script_of(what)
-    verdicts = run_script(script).verdicts
+    verdicts = run_planted(script, defect).verdicts
     wanted = [v for v in verdicts if rule is None or v.rule is Rule[rule.upper()]]
     if not wanted:
         raise click.UsageError(f"{what} breaks no rule" + (f" {Rule[rule.upper()].value!r}" if rule else ""))
     chosen = min(wanted, key=lambda v: v.at).rule
-    found = Shrinker(script, chosen, runs).run()
+    planting = named(defect) if defect is not None else None
+    with planted(planting) if planting is not None else nullcontext():
+        found = Shrinker(script, chosen, runs).run()
     try:
         out.write_bytes(encode(found.script))
     except OSError as error:
--- a/stackwheel/files/accept.py
+++ b/stackwheel/files/accept.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Literal
 
 import msgspec
 
@@ -33,7 +34,8 @@
 class Memory(msgspec.Struct, forbid_unknown_fields=True):
     """What a reader must not forget: kept on disk before anything takes effect."""
 
-    version: int = 1
+    version: Literal[1] = 1
+    since: Time = 0.0  # when it was begun: what was made before may have taken effect in a life it does not know
     marks: dict[Word, Mark] = {}  # by planner, zone and target
     bookings: dict[Word, Time] = {}  # ids that took effect, and until when they can come again
 
@@ -135,7 +137,8 @@
             content = content_of(whole, orders)
         else:
             whole, content = orders, content_of(orders)
-        news = tuple(b for b in orders.bookings if b.id not in self.memory.bookings and b.until > now)
+        news = tuple(b for b in orders.bookings if b.id not in self.memory.bookings and b.until > now
+                     and orders.made >= self.memory.since)
         if len(self.memory.bookings) + len(news) > BOOKINGS_MOST:
             news = news[:max(0, BOOKINGS_MOST - len(self.memory.bookings))]
         return Accepted(Held(orders, whole, content), news)
@@ -161,7 +164,7 @@
             self.held.pop(gone, None)
         bookings = {name: until for name, until in self.memory.bookings.items() if until > now}
         bookings.update((b.id, b.until) for b in accepted.bookings)
-        self.memory = Memory(1, marks, bookings)
+        self.memory = Memory(1, self.memory.since, marks, bookings)
         return self.memory
 
     def lapse(self, now: float, keep: float) -> list[str]:
--- a/stackwheel/files/codec.py
+++ b/stackwheel/files/codec.py
@@ -81,8 +81,14 @@
 
 
 def encode(document: Document, keys: KeyRing = NO_KEYS) -> bytes:
-    """A whole file. The keyed hash covers all before it, the trailer's length and digest included."""
-    head = MAGIC + b" %d\n" % VERSION + ENCODER.encode(document)
+    """A whole file of orders or of an answer."""
+    return seal(ENCODER.encode(document), keys)
+
+
+def seal(body: bytes, keys: KeyRing = NO_KEYS) -> bytes:
+    """A body between first line and trailer. The keyed hash covers all before it, the trailer's length and digest
+    included."""
+    head = MAGIC + b" %d\n" % VERSION + body
     digest = hashlib.blake2b(head, digest_size=32).hexdigest().encode()
     end = b"\nend length=%d blake2b=%b" % (len(head), digest)
     if keys.signing is not None:
@@ -93,6 +99,17 @@
 
 def decode(data: bytes, keys: KeyRing = NO_KEYS) -> Document | Refusal:
     """The document of a file's bytes, or why it is not used."""
+    body = unseal(data, keys)
+    if isinstance(body, Refusal):
+        return body
+    try:
+        return DECODER.decode(body)
+    except (msgspec.ValidationError, msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return Refusal(Stage.CONTENT, str(error)[:200])
+
+
+def unseal(data: bytes, keys: KeyRing = NO_KEYS) -> bytes | Refusal:
+    """The body of a file that is whole and genuine."""
     if len(data) > SIZE_MOST:
         return Refusal(Stage.SIZE, f"{len(data)} bytes, at most {SIZE_MOST}")
     found = TRAILER.search(data, max(0, len(data) - TRAILER_MOST))
@@ -115,7 +132,4 @@
         signed = data[:data.rindex(b" key=", found.start())]
         if not hmac.compare_digest(hmac.digest(keys.keys[name], signed, "sha256").hex().encode(), found[4]):
             return Refusal(Stage.SIGNATURE, f"the signature is not of key {name!r}")
-    try:
-        return DECODER.decode(body)
-    except (msgspec.ValidationError, msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Refusal(Stage.CONTENT, str(error)[:200])
+    return body
--- a/stackwheel/files/prevail.py
+++ b/stackwheel/files/prevail.py
@@ -79,7 +79,7 @@
         self.terms = terms
         self.stream = StreamState()
         self.files: dict[str, Held] = {}  # by target
-        self.chosen = ""  # target that prevails among files
+        self.chosen = ""  # planner that prevails among those that push files
         self.out: dict[str, Out] = {}
         self.known: dict[str, None] = {}  # servers named by anyone, for an even spread
 
@@ -134,9 +134,12 @@
         ordered = stream.ordered if stream.content is not None else 0.0
         newer = {key: held for key, held in fresh.items() if held.orders.made >= ordered}
         if newer:
-            if self.chosen not in newer:
-                self.chosen = max(newer, key=lambda key: (newer[key].orders.made, key))
-            held = newer[self.chosen]
+            if all(held.orders.planner != self.chosen for held in newer.values()):
+                last = max(newer.values(), key=lambda held: (held.orders.made, held.orders.planner))
+                self.chosen = last.orders.planner
+            # a planner says the same to all of a zone or something else to one: its newest word holds
+            held = max((one for one in newer.values() if one.orders.planner == self.chosen),
+                       key=lambda one: (one.orders.incarnation, one.orders.made, one.orders.proxy is not None))
             return self.usable(Source.FILE, held.orders.planner, held.content, held.orders.until)
         candidates = [(held.orders.until, held.orders.planner, held.content) for held in self.files.values()]
         if stream.content is not None:
--- a/stackwheel/operators/unify.py
+++ b/stackwheel/operators/unify.py
@@ -190,8 +190,9 @@
             (records if records else items).insert(0, replace_value(claim, fit[0]))
         if records and items:
             blamed = max(records + items, key=lambda c: self.sources.index(c.source))
+            wanted = "a list" if blamed in records else "a record"
             raise UnifyError(blamed.source.at(blamed.value.place), path,
-                             f"{self.named(blamed.value)} found, a {'list' if blamed in records else 'record'} expected")
+                             f"{self.named(blamed.value)} found, {wanted} expected")
         if records:
             return self.record(path, records)
         given = [c for c in items if c.source is not self.sources[0]] or items
--- a/stackwheel/rules/verdicts.py
+++ b/stackwheel/rules/verdicts.py
@@ -24,6 +24,7 @@
     USABLE = "orders can be used"
     BOUNDED = "what is kept for peers is bounded"
     UPRIGHT = "no task dies with an exception"
+    GENUINE = "only whole and genuine files are used, none older than the last"
     PROMPT = "a final answer is not held back"
 
 
--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import gc
+import os
 import signal
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
+from typing import Protocol
 
 from loguru import logger
 
@@ -17,11 +19,15 @@
 from stackwheel.service.reload import Reload
 from stackwheel.state.clock import Clock
 from stackwheel.state.ids import Ids
-from stackwheel.state.module import Module
+from stackwheel.state.module import Module, Outside
+from stackwheel.state.orders import Message
 from stackwheel.state.roster import Roster
+from stackwheel.state.streams import Line
 from stackwheel.wire.links import Links, stand_open
 from stackwheel.wire.timing import JITTER, stream_silence
 
+OPERATORS = "STACKWHEEL_OPERATORS"  # names the operators' own file
+
 
 def silence(settings: Settings) -> float:
     return stream_silence(settings.cycle, 1000.0 * settings.backlog / settings.channel_rate, settings.transit)
@@ -35,6 +41,16 @@
     return replace(settings, message_window=max(0.0, settings.message_window - JITTER))
 
 
+class Extra(Outside, Protocol):
+    """Another way of speaking beside the sockets: it gets all orders, and takes those of its own forwarders."""
+
+    async def run(self) -> None: ...
+
+
+def no_extras(service: Service) -> list[Extra]:
+    return []
+
+
 @dataclass(frozen=True, slots=True)
 class Surroundings:
     """What the process stands in: clocks, listener, configuration and signals, as the system gives them.
@@ -46,6 +62,7 @@
     steady: Callable[[], float] = time.monotonic  # s
     listen_at: Callable[[str], socket.socket] = stand_open
     load: Callable[[], Config | ConfigError] = load_config
+    extras: Callable[[Service], list[Extra]] = no_extras
     settle: Callable[[], None] = lambda: None  # once all that stays has been made
     signals_on: Callable[[], None] = lambda: None  # once signals find somebody who hears them
 
@@ -60,7 +77,31 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
 
-PROCESS = Surroundings(settle=settle_memory, signals_on=unblock_reload)
+def operators_extras(service: Service) -> list[Extra]:
+    """What the operators' file turns on; without the variable nothing of it is even imported."""
+    path = os.environ.get(OPERATORS)
+    if not path:
+        return []
+    from stackwheel.service.extras import build
+
+    return build(service, path)
+
+
+PROCESS = Surroundings(extras=operators_extras, settle=settle_memory, signals_on=unblock_reload)
+
+
+class Outsides:
+    """The sockets and what speaks beside them; lists, probes and peers are the sockets' alone."""
+
+    def __init__(self, links: Links, extras: Sequence[Extra]) -> None:
+        self.links, self.extras = links, extras
+        self.watch_list, self.fetch_list = links.watch_list, links.fetch_list
+        self.probe, self.tell_peers = links.probe, links.tell_peers
+
+    def deliver(self, messages: Sequence[tuple[Line, Message]]) -> None:
+        self.links.deliver(messages)
+        for extra in self.extras:
+            extra.deliver(messages)
 
 
 class Service:
@@ -73,8 +114,10 @@
         self.roster.apply(config.known)
         self.links = Links(config.addresses, config.settings, config.names, self.roster, self.clock,
                            around.listen_at)
+        self.extras = around.extras(self)
+        outside = Outsides(self.links, self.extras) if self.extras else self.links
         self.module = Module(on_sockets(config.settings), config.names.tick, config.seed, self.clock,
-                             self.roster, self.links, silence(config.settings))
+                             self.roster, outside, silence(config.settings))
         self.reload = Reload(config, self.links.readdress, around.load)
 
     async def run(self) -> None:
@@ -87,6 +130,8 @@
         logger.info("ready on {}, {} servers known of list {}", self.config.addresses.listen,
                     len(self.roster.entries), self.roster.generation)
         self.links.keep(self.reload.run())
+        for extra in self.extras:
+            self.links.keep(extra.run())
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload.ask)
         self.around.signals_on()  # one that came during the start counts now
         await self.module.run()
--- a/stackwheel/trials/draw.py
+++ b/stackwheel/trials/draw.py
@@ -6,6 +6,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from stackwheel.trials import script as s
 
 SPAN = (22.0, 34.0)  # s
@@ -154,14 +156,25 @@
     return s.Shape(**fields)  # type: ignore[arg-type]
 
 
-def draw(seed: int) -> s.Script:
-    """The script of a seed: the same one everywhere, always."""
-    chance = random.Random(f"script {seed}")
+FILE_KINDS: tuple[tuple[Callable[[Drawing], s.Fault], float], ...] = (
+    (lambda d: s.Pushes(d.when(), d.time(2.0, 8.0), d.time(0.0, 4.0), d.time(0.0, 0.3) * (d.chance.random() < 0.5),
+                        d.time(0.0, 0.5), d.time(0.0, 0.5), d.time(0.0, 0.6)), 10),
+    (lambda d: s.Disks(d.when(), d.planners() if d.chance.random() < 0.6 else d.proxies(0.5), d.time(1.0, 6.0),
+                       d.chance.choice(("full", "gone", "slow")), d.time(0.2, 1.5)), 4),
+)
+
+
+def draw(seed: int, files: bool = False) -> s.Script:
+    """The script of a seed: the same one everywhere, always; with files in the place of streams, if so asked."""
+    chance = random.Random(f"script {seed}{' files' if files else ''}")
     shape = draw_shape(chance)
+    if files:
+        shape = msgspec.structs.replace(shape, files=True)
     span = round(chance.uniform(*SPAN), 1)
     drawing = Drawing(chance, shape, span)
-    kinds = [make for make, _ in KINDS]
-    weights = [weight for _, weight in KINDS]
+    table = KINDS + FILE_KINDS if files else KINDS
+    kinds = [make for make, _ in table]
+    weights = [weight for _, weight in table]
     chosen = chance.choices(kinds, weights, k=chance.randint(1, KINDS_MOST))
     faults = [chance.choice(chosen)(drawing) for _ in range(chance.randint(*FAULTS))]
     return s.Script(seed, span, shape, tuple(sorted(faults, key=lambda fault: fault.at)))
--- a/stackwheel/trials/events.py
+++ b/stackwheel/trials/events.py
@@ -9,6 +9,7 @@
 from stackwheel.interface import Availability
 from stackwheel.rules.verdicts import AFTER_RELOAD
 from stackwheel.trials import script as s
+from stackwheel.trials.exchange import PushTrouble
 from stackwheel.trials.loop import Machine
 from stackwheel.trials.proxies import Lines, Proxy
 from stackwheel.trials.servers import Server
@@ -320,6 +321,34 @@
         soon(world, span, setattr, world.network.now, name, getattr(usual, name))
 
 
+@happen.register(s.Pushes)
+def _(fault: s.Pushes, world: World) -> None:
+    if world.exchange is not None:
+        world.exchange.set_trouble(
+            PushTrouble(fault.late, fault.doubled, fault.torn, fault.old, fault.lost), fault.span)
+
+
+@happen.register(s.Disks)
+def _(fault: s.Disks, world: World) -> None:
+    if world.exchange is None:
+        return
+    names = [f"planner-{n}" for n in s.members(fault.who, world.shape, "planner")]
+    names += [f"proxy-{n}" for n in s.members(fault.who, world.shape, "proxy")]
+    for name in names:
+        disk = world.exchange.disks[name]
+        if fault.how == "slow":
+            disk.slow = fault.slow
+            soon(world, fault.span, setattr, disk, "slow", 0.002)
+        else:
+            setattr(disk, fault.how, True)
+            soon(world, fault.span, setattr, disk, fault.how, False)
+    troubled = [int(n.partition("-")[2]) for n in names if n.startswith("planner")]
+    for number in troubled:  # what can't be written is told to nobody
+        world.checker.hold_off(number, world.ms() + fault.span * 1000.0 + 1000.0)
+    for number in s.members(fault.who, world.shape, "proxy"):
+        world.checker.hold_off_proxy(number, world.ms() + fault.span * 1000.0 + 1000.0)
+
+
 class Stranger(Lines):
     def __init__(self, say: bytes) -> None:
         super().__init__()
--- a/stackwheel/trials/planners.py
+++ b/stackwheel/trials/planners.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator, Mapping
 from typing import TYPE_CHECKING, Any, cast
 
+from stackwheel.files.desk import FileDesk
 from stackwheel.service.app import Service, Surroundings
 from stackwheel.service.config import Config, ConfigError, read_config
 from stackwheel.trials.loop import Machine
@@ -53,6 +54,7 @@
         self.address: Address = (self.host, 8081)
         self.machine = Machine(f"planner-{number}")
         self.service: Service | None = None
+        self.desk: FileDesk | None = None
         self.lives = 0
         self.discovery = world.discovery.address
 
@@ -91,7 +93,9 @@
         config = self.load()
         assert not isinstance(config, ConfigError), config.reason
         loop = world.loop
+        exchange = world.exchange
         around = Surroundings(
+            extras=(lambda service: exchange.extras(self, service)) if exchange is not None else lambda service: [],
             wall=lambda: EPOCH + loop.now, steady=lambda: loop.now, load=self.load,
             listen_at=lambda address: cast(socket.socket, world.network.listen(self.machine, self.address)),
             signals_on=lambda: world.planner_up(self))
--- a/stackwheel/trials/proxies.py
+++ b/stackwheel/trials/proxies.py
@@ -248,6 +248,9 @@
         self.under_way, self.strikes, self.kept_off, self.met = {}, {}, {}, {}
         self.came, self.unserved = [0] * len(self.routes), [0] * len(self.routes)
         self.tell_lines()
+        if self.world.exchange is not None:
+            self.world.exchange.start(self)
+            return
         self.later(self.chance.uniform(0.0, 0.3), self.dial_if_alone)
         self.later(self.chance.uniform(0.3, 1.0) * self.world.shape.cycle / 1000.0, self.report, self.mind)
 
--- a/stackwheel/trials/script.py
+++ b/stackwheel/trials/script.py
@@ -73,6 +73,7 @@
     peers: bool = True
     probes: bool = True
     reports: bool = True  # whether servers tell how many requests they hold
+    files: bool = False  # forwarders are spoken to by files alone
     client_retries: Annotated[int, Meta(ge=0, le=5)] = 2
     latency: Positive = 0.5  # ms one way within a zone
     between: Positive = 2.0  # ms one way between zones
@@ -251,6 +252,27 @@
     transit: Annotated[float, Meta(ge=0.01, le=100)] = 1.0
 
 
+class Pushes(Event, frozen=True):
+    """Files come up to `late` later, so that they overtake each other; are lost; come twice; are copied in place; and
+    beside some an old one is pushed again."""
+
+    span: Time
+    late: Time = 0.0
+    lost: Share = 0.0
+    doubled: Share = 0.0
+    torn: Share = 0.0
+    old: Share = 0.0
+
+
+class Disks(Event, frozen=True):
+    """Disks of planners or proxies are full, gone, or take `slow` for each thing."""
+
+    who: Names
+    span: Time
+    how: Literal["full", "gone", "slow"] = "full"
+    slow: Time = 1.0
+
+
 class Strangers(Event, frozen=True):
     """Clients that belong to nobody connect and say what is of no use."""
 
@@ -260,7 +282,8 @@
 
 
 Fault = (Kill | Stall | Cut | Reset | HalfOpen | Doubled | MidMessage | Restart | Die | Drain | Replace | Fail
-         | Slow | LoseZone | Discovery | Older | Reload | Renumber | Demand | Reports | Datagrams | Way | Strangers)
+         | Slow | LoseZone | Discovery | Older | Reload | Renumber | Demand | Reports | Datagrams | Way | Strangers
+         | Pushes | Disks)
 
 
 class Script(Struct, frozen=True, forbid_unknown_fields=True):
--- a/stackwheel/trials/world.py
+++ b/stackwheel/trials/world.py
@@ -22,6 +22,7 @@
 from stackwheel.service.config import Config
 from stackwheel.trials import events
 from stackwheel.trials.discovery import Call, Discovery, News, Record
+from stackwheel.trials.exchange import Exchange
 from stackwheel.trials.loop import Machine, VirtualLoop
 from stackwheel.trials.network import Address, Network, Transport
 from stackwheel.trials.planners import EPOCH, PlannerHost
@@ -146,6 +147,7 @@
             machine = Machine(f"collector-{zone}")
             self.network.settle(f"10.4.0.{zone + 1}", machine)
             self.collectors += [Collector(self, zone, n, machine) for n in range(shape.planners)]
+        self.exchange = Exchange(self) if shape.files else None
         self.set_demand()
         if patch is not None:
             patch(self)
@@ -254,6 +256,8 @@
 
     def planner_down(self, host: PlannerHost) -> None:
         self.checker.planner_gone(host.number, self.ms())
+        if self.exchange is not None:
+            self.exchange.planner_down(host.number)
         for proxy in self.proxies:
             if proxy.stream is not None and proxy.stream.planner == host.number:
                 proxy.stream.broken = True
@@ -266,6 +270,8 @@
 
     def streams_cut(self) -> None:
         """A cut has begun: streams across it count as left; who hears nothing any more finds that out."""
+        if self.exchange is not None:
+            self.exchange.cut()
         for proxy in self.proxies:
             stream = proxy.stream
             if stream is not None and self.between_cut(proxy, stream.planner):
@@ -387,6 +393,12 @@
         what = self.chance.choice(("", f"{name}=-1", f"{name}=x", f"{name}=nan", f"{name}={10 ** 30}"))
         return " ".join(w for w in (*words[:place], what, *words[place + 1:]) if w)
 
+    def load_of(self, name: str) -> dict[str, float]:
+        server = self.servers.get(name)
+        if server is None or not self.shape.reports:
+            return {}
+        return {"outstanding": float(server.holds(self.loop.now))}
+
     def load_report(self, name: str) -> str:
         server = self.servers.get(name)
         if server is None or not self.shape.reports:
