--- a/stackwheel/cli/files.py
+++ b/stackwheel/cli/files.py
@@ -160,3 +160,81 @@
     if failed is not None:
         raise click.UsageError(f"{out}: {failed.step}: {failed.reason}")
     return 0
+
+
+def place_options(command: Any) -> Any:
+    for option in (
+            click.argument("folders", nargs=-1, required=True, type=click.Path(file_okay=False)),
+            click.option("--zone", required=True, help="The reader's zone."),
+            click.option("--proxy", type=click.IntRange(0, 65535), default=0, show_default=True, help="Its number."),
+            click.option("--state", type=click.Path(file_okay=False), help="Where it remembers what it applied."),
+            key_file, click.option("--poll", type=click.FloatRange(0.05, 60), default=1.0, show_default=True,
+                                   help="s between looks where nothing is told."),
+            click.option("--once", is_flag=True, help="Look once; exit 1 where something was refused."), as_json_flag):
+        command = option(command)
+    return command
+
+
+def run_server(folders: tuple[str, ...], zone: str, proxy: int, state: str | None, keys: KeyRing, poll: float,
+               once: bool, as_json: bool, answers: str, sinks: Any) -> int:
+    import asyncio
+    import contextlib
+    import tempfile
+
+    from stackwheel.files.prevail import Terms
+    from stackwheel.files.reader import Place
+    from stackwheel.files.serve import Server
+
+    def tell(news: dict[str, object]) -> None:
+        if as_json:
+            click.echo(json.dumps(news))
+        elif news["taken"]:
+            click.echo(f"applied {news['file']}: number {news['sequence']}, {'whole' if news['whole'] else 'change'}")
+        else:
+            click.echo(f"refused {news['file']}: {news['stage']}: {news['reason']}")
+
+    with contextlib.ExitStack() as stack:
+        kept = state or stack.enter_context(tempfile.TemporaryDirectory())
+        server = Server(Place(zone, proxy, folders, answers, kept), lambda: keys, Terms(), sinks, tell, poll)
+        try:
+            return 0 if asyncio.run(server.run(once)) or not once else 1
+        except KeyboardInterrupt:
+            return 0
+
+
+@files.command()
+@place_options
+def follow(folders: tuple[str, ...], zone: str, proxy: int, state: str | None, keys: KeyRing, poll: float, once: bool,
+           as_json: bool) -> int:
+    """Tell what a reader of folders would apply and refuse, as it happens."""
+    from stackwheel.files.serve import Sinks
+
+    return run_server(folders, zone, proxy, state, keys, poll, once, as_json, "", Sinks())
+
+
+@files.command()
+@place_options
+@click.option("--answers", type=click.Path(file_okay=False), default="", help="Where its answers go.")
+@click.option("--out", type=click.Path(dir_okay=False), default="", help="A file that holds what is in force, as JSON.")
+@click.option("--command", default="", help="Run by the shell at each change, with the same on its standard input.")
+def serve(folders: tuple[str, ...], zone: str, proxy: int, state: str | None, keys: KeyRing, poll: float, once: bool,
+          as_json: bool, answers: str, out: str, command: str) -> int:
+    """Read folders for a forwarder that can't itself: what is in force goes to a file and a command."""
+    from stackwheel.files.serve import Sinks
+
+    return run_server(folders, zone, proxy, state, keys, poll, once, as_json, answers, Sinks(out, command))
+
+
+@files.command()
+@as_json_flag
+def measure(as_json: bool) -> None:
+    """Measure what files cost on this machine; takes about half a minute."""
+    from stackwheel.files.measure import measure as rows
+
+    found = []
+    for row in rows():
+        found.append(row)
+        if not as_json:
+            click.echo(f"{row.what:42} {row.size:32} {row.value:12.1f} {row.unit}")
+    if as_json:
+        click.echo(json.dumps([{"what": r.what, "size": r.size, "value": r.value, "unit": r.unit} for r in found]))
--- a/stackwheel/cli/trial.py
+++ b/stackwheel/cli/trial.py
@@ -15,9 +15,18 @@
 
 from stackwheel.rules.verdicts import Rule
 from stackwheel.trials import measure as sizes
-from stackwheel.trials.defects import DEFECTS, DefectChunk, found_by, named, planted
+from stackwheel.trials.defects import ALL_DEFECTS, FILE_DEFECTS, DefectChunk, found_by, named, planted
 from stackwheel.trials.draw import draw
-from stackwheel.trials.runner import SeedResult, Summary, by_rule, default_jobs, run_seed, run_seeds
+from stackwheel.trials.runner import (
+    SeedResult,
+    Summary,
+    by_rule,
+    default_jobs,
+    run_chunk,
+    run_file_chunk,
+    run_seed,
+    run_seeds,
+)
 from stackwheel.trials.script import Script, ScriptError, encode, load, words
 from stackwheel.trials.shrink import RUNS_MOST, Shrinker
 from stackwheel.trials.world import Result, run_script
@@ -46,10 +55,13 @@
 SEEDS = Seeds()
 
 
-def script_of(text: str) -> Script:
+files_flag = click.option("--files", is_flag=True, help="Forwarders are spoken to by files; other scripts are drawn.")
+
+
+def script_of(text: str, files: bool = False) -> Script:
     """The script of a seed, or of a file."""
     try:
-        return draw(int(text)) if text.isdecimal() else load(Path(text))
+        return draw(int(text), files) if text.isdecimal() else load(Path(text))
     except ScriptError as error:
         raise click.UsageError(str(error)) from None
 
@@ -67,12 +79,13 @@
 @trial.command("run")
 @click.option("--seeds", type=SEEDS, required=True, help="A:B, from A up to but without B.")
 @click.option("--jobs", type=click.IntRange(1, 256), default=default_jobs, help="Processes; all cores if not given.")
+@files_flag
 @click.option("--json", "as_json", is_flag=True, help="End with one JSON object.")
-def run(seeds: range, jobs: int, as_json: bool) -> int:
+def run(seeds: range, jobs: int, files: bool, as_json: bool) -> int:
     """Run seeds; exit 1 where a rule was broken."""
     console = Console(stderr=as_json)
     summary, began, stopped = Summary(), time.perf_counter(), False
-    results = run_seeds(seeds, jobs)
+    results = run_seeds(seeds, jobs, run_file_chunk if files else run_chunk)
     with progress(console, as_json) as bar:
         task = bar.add_task("seeds", total=len(seeds))
         try:
@@ -111,11 +124,12 @@
 @trial.command()
 @click.argument("what", metavar="SEED|FILE")
 @click.option("--trace", is_flag=True, help="Print what happens as it does.")
-@click.option("--defect", type=click.Choice([d.name for d in DEFECTS]), help="With a deliberate defect planted.")
+@click.option("--defect", type=click.Choice([d.name for d in ALL_DEFECTS]), help="With a deliberate defect planted.")
+@files_flag
 @click.option("--json", "as_json", is_flag=True, help="End with one JSON object.")
-def replay(what: str, trace: bool, defect: str | None, as_json: bool) -> int:
+def replay(what: str, trace: bool, defect: str | None, files: bool, as_json: bool) -> int:
     """Run one seed or script file again, step by step the same."""
-    script = script_of(what)
+    script = script_of(what, files)
     found = run_planted(script, defect, click.echo if trace else None)
     if as_json:
         print(json.dumps({"digest": found.digest, "broken": [
@@ -147,10 +161,11 @@
 @click.option("--rule", type=click.Choice([r.name.lower() for r in Rule]),
               help="The rule; the first broken if not given.")
 @click.option("--runs", type=click.IntRange(1, 100_000), default=RUNS_MOST, show_default=True, help="Trials at most.")
-@click.option("--defect", type=click.Choice([d.name for d in DEFECTS]), help="With a deliberate defect planted.")
-def shrink(what: str, out: Path, rule: str | None, runs: int, defect: str | None) -> int:
+@click.option("--defect", type=click.Choice([d.name for d in ALL_DEFECTS]), help="With a deliberate defect planted.")
+@files_flag
+def shrink(what: str, out: Path, rule: str | None, runs: int, defect: str | None, files: bool) -> int:
     """Find the smallest script that still breaks the same rule, and save it."""
-    script = script_of(what)
+    script = script_of(what, files)
     verdicts = run_planted(script, defect).verdicts
     wanted = [v for v in verdicts if rule is None or v.rule is Rule[rule.upper()]]
     if not wanted:
@@ -170,21 +185,22 @@
 
 @trial.command()
 @click.argument("what", metavar="SEED|FILE")
+@files_flag
 @click.option("--json", "as_json", is_flag=True, help="The script itself, as a file would hold it.")
-def show(what: str, as_json: bool) -> None:
+def show(what: str, files: bool, as_json: bool) -> None:
     """Tell a seed's script in words."""
-    script = script_of(what)
+    script = script_of(what, files)
     click.echo(encode(script).decode().rstrip() if as_json else "\n".join(words(script)))
 
 
 @trial.command()
 @click.option("--seeds", type=SEEDS, default="0:500", show_default=True)
 @click.option("--jobs", type=click.IntRange(1, 256), default=default_jobs)
-@click.option("--only", multiple=True, type=click.Choice([d.name for d in DEFECTS]))
+@click.option("--only", multiple=True, type=click.Choice([d.name for d in ALL_DEFECTS]))
 @click.option("--json", "as_json", is_flag=True)
 def defects(seeds: range, jobs: int, only: Sequence[str], as_json: bool) -> int:
     """Plant each deliberate defect and tell how many seeds it takes to find it; exit 1 where one is not found."""
-    chosen = [d for d in DEFECTS if not only or d.name in only]
+    chosen = [d for d in ALL_DEFECTS if not only or d.name in only]
     rows = []
     for defect in chosen:
         verdict, needed = first_found(defect.name, seeds, jobs)
@@ -200,9 +216,9 @@
     return 0 if all(row["rule"] for row in rows) else 1
 
 
-def broken_anyway(seed: int) -> set[Rule]:
+def broken_anyway(seed: int, files: bool) -> set[Rule]:
     """What a seed breaks without any defect: that proves nothing of one."""
-    return {verdict.rule for verdict in run_seed(seed).verdicts}
+    return {verdict.rule for verdict in run_seed(seed, files).verdicts}
 
 
 def first_found(name: str, seeds: Iterable[int], jobs: int) -> tuple[SeedResult | None, int]:
@@ -211,7 +227,8 @@
     results = run_seeds(list(seeds), jobs, DefectChunk(name))
     try:
         for needed, result in enumerate(results, 1):
-            if (rules := found_by(defect, result)) and not rules <= broken_anyway(result.seed):
+            if (rules := found_by(defect, result)) and not rules <= broken_anyway(
+                    result.seed, defect in FILE_DEFECTS):
                 return result, needed
     finally:
         results.close()  # type: ignore[attr-defined]
--- a/stackwheel/trials/defects.py
+++ b/stackwheel/trials/defects.py
@@ -15,6 +15,9 @@
 from stackwheel import balance
 from stackwheel import interface as face
 from stackwheel.balance import Outbox, Planner
+from stackwheel.files import codec, desk
+from stackwheel.files.accept import Acceptor
+from stackwheel.files.disk import SwapFailed
 from stackwheel.interface import Availability, Retry
 from stackwheel.rules.verdicts import Rule
 from stackwheel.state.module import Module
@@ -22,7 +25,7 @@
 from stackwheel.state.roster import Listing, Roster
 from stackwheel.state.streams import Streams, carried
 from stackwheel.trials.proxies import Proxy
-from stackwheel.trials.runner import SeedResult, run_chunk
+from stackwheel.trials.runner import SeedResult, run_chunk, run_file_chunk
 from stackwheel.trials.world import World
 from stackwheel.wire import lines
 from stackwheel.wire.discovery import Discovery
@@ -266,6 +269,58 @@
     return [(Links, "pace", pace), (Outbox, "may_write", lambda self, proxy, share: True)]
 
 
+def written_in_place() -> Sequence[Patch]:
+    def swap(disk: Any, folder: str, name: str, data: bytes) -> SwapFailed | None:
+        try:
+            handle = disk.create(f"{folder}/{name}")
+            for at in range(0, len(data), 200):
+                disk.write(handle, data[at:at + 200])
+            disk.close(handle)
+        except OSError as error:
+            return SwapFailed("write", str(error))
+        return None
+
+    return [(desk, "swap", swap)]
+
+
+def sequence_unchecked() -> Sequence[Patch]:
+    honest = Acceptor.offer
+
+    def offer(self: Acceptor, orders: Any, now: float) -> Any:
+        kept = self.memory.marks
+        self.memory.marks = {}
+        try:
+            return honest(self, orders, now)
+        finally:
+            self.memory.marks = kept
+
+    return [(Acceptor, "offer", offer)]
+
+
+def booking_forgotten() -> Sequence[Patch]:
+    honest = Acceptor.commit
+
+    def commit(self: Acceptor, accepted: Any, now: float) -> Any:
+        memory = honest(self, accepted, now)
+        memory.bookings = {}
+        return memory
+
+    return [(Acceptor, "commit", commit)]
+
+
+def digest_unchecked() -> Sequence[Patch]:
+    def unseal(data: bytes, keys: Any = None) -> Any:
+        body = data.partition(b"\n")[2].partition(b"\nend ")[0]
+        return body or codec.Refusal(codec.Stage.TRAILER, "empty")
+
+    return [(codec, "unseal", unseal)]
+
+
+def age_ignored() -> Sequence[Patch]:
+    honest = Acceptor.offer
+    return [(Acceptor, "offer", lambda self, orders, now: honest(self, orders, min(now, orders.made)))]
+
+
 DEFECTS: tuple[Defect, ...] = (
     Defect("drain-ignored", "policy", (Rule.DRAINS,), drain_ignored, "a draining server counts as ready"),
     Defect("gone-kept", "policy", (Rule.DRAINS,), gone_kept, "servers that left the list stay in tables"),
@@ -310,8 +365,20 @@
 )
 
 
+FILE_DEFECTS: tuple[Defect, ...] = (
+    Defect("no-rename", "files", (Rule.GENUINE,), written_in_place, "files are written in place"),
+    Defect("no-sequence-check", "files", (Rule.GENUINE,), sequence_unchecked,
+           "older files are applied after newer ones"),
+    Defect("booking-forgotten", "files", (Rule.ONCE,), booking_forgotten, "ids of booking orders are not remembered"),
+    Defect("digest-unchecked", "files", (Rule.GENUINE,), digest_unchecked,
+           "a file's digest and signature are not checked"),
+    Defect("age-ignored", "files", (Rule.GENUINE,), age_ignored, "files are used after their time"),
+)
+ALL_DEFECTS = DEFECTS + FILE_DEFECTS
+
+
 def named(name: str) -> Defect | None:
-    return next((defect for defect in DEFECTS if defect.name == name), None)
+    return next((defect for defect in ALL_DEFECTS if defect.name == name), None)
 
 
 class DefectChunk:
@@ -324,7 +391,7 @@
         defect = named(self.name)
         assert defect is not None
         with planted(defect):
-            return run_chunk(seeds)
+            return run_file_chunk(seeds) if defect in FILE_DEFECTS else run_chunk(seeds)
 
 
 def found_by(defect: Defect, result: SeedResult) -> set[Rule]:
--- a/stackwheel/trials/exchange.py
+++ b/stackwheel/trials/exchange.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 from stackwheel.files.accept import Content, target
-from stackwheel.files.codec import KeyRing
+from stackwheel.files.codec import KeyRing, encode
 from stackwheel.files.desk import FileDesk, Folders
 from stackwheel.files.ledger import Ledger, Terms
 from stackwheel.files.prevail import Prevailing, Source
@@ -38,7 +38,7 @@
 PUSH = (0.02, 0.2)  # s that a push takes
 BOOK_EVERY = 2.0  # s between orders for bookings
 HISTORY_MOST = 40  # old files that may be pushed once more
-LIFE, KEEP = 20_000.0, 5_000.0  # ms
+LIFE, KEEP = 8_000.0, 5_000.0  # ms: short, so that much comes after its time
 KEYS = KeyRing({"k1": b"trial key, thirty-two bytes long"}, "k1")
 
 
@@ -144,8 +144,7 @@
         late = chance.uniform(*PUSH) + trouble.late * chance.random()
         disk = self.disks[proxy.machine.name]
         if chance.random() < trouble.torn:
-            cut = chance.randrange(1, len(data))
-            world.loop.at(world.loop.now + late, None, disk.files.__setitem__, path, data[:cut])
+            world.loop.at(world.loop.now + late, None, self.copy_part, disk, path, data, chance.randrange(1, len(data)))
             late += 0.3 * chance.random()
         world.loop.at(world.loop.now + late, None, disk.files.__setitem__, path, data)
         if chance.random() < trouble.doubled:
@@ -157,6 +156,11 @@
             world.loop.at(world.loop.now + late + chance.random(), None, disk.files.__setitem__,
                           path.rpartition("/")[0] + "/" + name, old)
 
+    @staticmethod
+    def copy_part(disk: TrialDisk, path: str, data: bytes, cut: int) -> None:
+        """Copied in place: its start over what lies there."""
+        disk.files[path] = data[:cut] + disk.files.get(path, b"")[cut:]
+
     def set_trouble(self, trouble: PushTrouble, span: float) -> None:
         """While pushes are late or lost, forwarders count as left: no order is sure to reach them."""
         self.trouble = trouble
@@ -212,8 +216,6 @@
         if last is not None and orders.mark < last:
             self.wrong(f"{key[1]}: number {orders.sequence} applied after {last[1]}", proxy=proxy.number)
         self.applied[key] = max(orders.mark, last) if last is not None else orders.mark
-        from stackwheel.files.codec import encode
-
         if encode(orders, KEYS) not in self.written:
             self.wrong(f"{taken.name}: used, and no planner wrote it", proxy=proxy.number)
         if orders.until <= self.now():
--- a/stackwheel/trials/runner.py
+++ b/stackwheel/trials/runner.py
@@ -70,8 +70,8 @@
             "digest": self.hasher.hexdigest()}
 
 
-def run_seed(seed: int) -> SeedResult:
-    return run_one(draw(seed))
+def run_seed(seed: int, files: bool = False) -> SeedResult:
+    return run_one(draw(seed, files))
 
 
 def run_one(script: Script) -> SeedResult:
@@ -88,6 +88,10 @@
     return [run_seed(seed) for seed in seeds]
 
 
+def run_file_chunk(seeds: Sequence[int]) -> list[SeedResult]:
+    return [run_seed(seed, True) for seed in seeds]
+
+
 def leave_interrupts() -> None:
     """Ctrl-C goes to every process of the terminal; the first one decides."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)
--- a/tests/trials/test_script.py
+++ b/tests/trials/test_script.py
@@ -30,7 +30,7 @@
 
 
 def test_every_kind_of_fault_is_drawn() -> None:
-    kinds = {type(fault) for seed in range(400) for fault in draw(seed).faults}
+    kinds = {type(fault) for seed in range(400) for fault in (*draw(seed).faults, *draw(seed, True).faults)}
     assert kinds == set(s.Fault.__args__)  # type: ignore[attr-defined]
 
 
