--- a/stackwheel/cli/trial.py
+++ b/stackwheel/cli/trial.py
@@ -4,7 +4,7 @@
 
 import json
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from contextlib import nullcontext
 from pathlib import Path
 
@@ -15,16 +15,14 @@
 
 from stackwheel.rules.verdicts import Rule
 from stackwheel.trials import measure as sizes
-from stackwheel.trials.defects import ALL_DEFECTS, FILE_DEFECTS, DefectChunk, found_by, named, planted
+from stackwheel.trials.defects import ALL_DEFECTS, named, planted, search_all
 from stackwheel.trials.draw import draw
 from stackwheel.trials.runner import (
-    SeedResult,
     Summary,
     by_rule,
     default_jobs,
     run_chunk,
     run_file_chunk,
-    run_seed,
     run_seeds,
 )
 from stackwheel.trials.script import Script, ScriptError, encode, load, words
@@ -202,39 +200,17 @@
     """Plant each deliberate defect and tell how many seeds it takes to find it; exit 1 where one is not found."""
     chosen = [d for d in ALL_DEFECTS if not only or d.name in only]
     rows = []
-    for defect in chosen:
-        verdict, needed = first_found(defect.name, seeds, jobs)
-        rows.append({"defect": defect.name, "where": defect.where, "what": defect.what,
-                     "seeds": needed, "seed": verdict.seed if verdict else None,
-                     "rule": next((v.rule.value for v in verdict.verdicts if v.rule in defect.shows), None)
-                     if verdict else None})
+    for defect, found in zip(chosen, search_all([d.name for d in chosen], seeds, jobs), strict=True):
+        rows.append({"defect": defect.name, "where": defect.where, "what": defect.what, "seeds": found.needed,
+                     "seed": found.seed, "rule": found.rule.value if found.rule is not None else None})
         if not as_json:
-            found = rows[-1]["rule"] or "NOT FOUND"
-            click.echo(f"{defect.name:26} {defect.where:16} {needed if verdict else '-':>5}  {found}")
+            told = found.rule.value if found.rule is not None else "NOT FOUND"
+            click.echo(f"{defect.name:26} {defect.where:16} {found.needed:>5} {found.seed:>6}  {told}")
     if as_json:
         print(json.dumps(rows))
     return 0 if all(row["rule"] for row in rows) else 1
 
 
-def broken_anyway(seed: int, files: bool) -> set[Rule]:
-    """What a seed breaks without any defect: that proves nothing of one."""
-    return {verdict.rule for verdict in run_seed(seed, files).verdicts}
-
-
-def first_found(name: str, seeds: Iterable[int], jobs: int) -> tuple[SeedResult | None, int]:
-    defect = named(name)
-    assert defect is not None
-    results = run_seeds(list(seeds), jobs, DefectChunk(name))
-    try:
-        for needed, result in enumerate(results, 1):
-            if (rules := found_by(defect, result)) and not rules <= broken_anyway(
-                    result.seed, defect in FILE_DEFECTS):
-                return result, needed
-    finally:
-        results.close()  # type: ignore[attr-defined]
-    return None, 0
-
-
 @trial.command()
 @click.option("--span", type=click.FloatRange(1, 600), default=10.0, show_default=True, help="Virtual seconds of each.")
 @click.option("--json", "as_json", is_flag=True)
--- a/stackwheel/trials/defects.py
+++ b/stackwheel/trials/defects.py
@@ -8,6 +8,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from typing import Any
@@ -25,7 +26,7 @@
 from stackwheel.state.roster import Listing, Roster
 from stackwheel.state.streams import Streams, carried
 from stackwheel.trials.proxies import Proxy
-from stackwheel.trials.runner import SeedResult, run_chunk, run_file_chunk
+from stackwheel.trials.runner import SeedResult, leave_interrupts, run_seed
 from stackwheel.trials.world import World
 from stackwheel.wire import lines
 from stackwheel.wire.discovery import Discovery
@@ -381,19 +382,35 @@
     return next((defect for defect in ALL_DEFECTS if defect.name == name), None)
 
 
-class DefectChunk:
-    """Runs seeds with a defect planted, in whatever process it is called in."""
+def found_by(defect: Defect, result: SeedResult) -> set[Rule]:
+    """The rules by which a run shows the defect."""
+    return {verdict.rule for verdict in result.verdicts if verdict.rule in defect.shows}
 
-    def __init__(self, name: str) -> None:
-        self.name = name
 
-    def __call__(self, seeds: Sequence[int]) -> list[SeedResult]:
-        defect = named(self.name)
-        assert defect is not None
+@dataclass(frozen=True, slots=True)
+class Search:
+    """How many seeds it took to find a defect; `rule` is None where none of them did."""
+
+    name: str
+    needed: int
+    seed: int
+    rule: Rule | None
+
+
+def search(name: str, seeds: Sequence[int]) -> Search:
+    """Try seeds until one shows the defect by a rule that it keeps without it."""
+    defect = named(name)
+    assert defect is not None
+    files = defect in FILE_DEFECTS
+    for needed, seed in enumerate(seeds, 1):
         with planted(defect):
-            return run_file_chunk(seeds) if defect in FILE_DEFECTS else run_chunk(seeds)
+            shown = found_by(defect, run_seed(seed, files))
+        if shown and (news := shown - {verdict.rule for verdict in run_seed(seed, files).verdicts}):
+            return Search(name, needed, seed, min(news))
+    return Search(name, len(seeds), -1, None)
 
 
-def found_by(defect: Defect, result: SeedResult) -> set[Rule]:
-    """The rules by which a run shows the defect."""
-    return {verdict.rule for verdict in result.verdicts if verdict.rule in defect.shows}
+def search_all(names: Sequence[str], seeds: Sequence[int], jobs: int) -> Iterator[Search]:
+    """Each defect in a process of its own, in the order given."""
+    with ProcessPoolExecutor(jobs, initializer=leave_interrupts) as pool:
+        yield from pool.map(search, names, [seeds] * len(names))
