Files: a lost memory lets no old booking order through; own files do not outlive their zone's

Also: a forwarder that had a file of its own was left with it when it held what its zone does. Change: orders for bookings carry when they were made; a file is used only within its time, looked at after the memory is kept; own files are written on until the zone's is newer.

--- a/stackwheel/files/accept.py
+++ b/stackwheel/files/accept.py
@@ -138,7 +138,7 @@
         else:
             whole, content = orders, content_of(orders)
         news = tuple(b for b in orders.bookings if b.id not in self.memory.bookings and b.until > now
-                     and orders.made >= self.memory.since)
+                     and b.made >= self.memory.since)
         if len(self.memory.bookings) + len(news) > BOOKINGS_MOST:
             news = news[:max(0, BOOKINGS_MOST - len(self.memory.bookings))]
         return Accepted(Held(orders, whole, content), news)
--- a/stackwheel/files/ledger.py
+++ b/stackwheel/files/ledger.py
@@ -144,10 +144,20 @@
         for zone, members in by_zone.items():
             usual = self.commonest(members)
             yield from self.write(zone, None, usual, [m for m in members if m.content == usual], now)
-            for member in members:
-                if member.content != usual:
+            for member in members:  # who had a file of its own goes by that until the zone's is newer
+                if member.content != usual or self.own_holds(member):
                     yield from self.write(zone, member.proxy, member.content, [member], now)
 
+    def own_holds(self, forwarder: Forwarder) -> bool:
+        """Whether a forwarder's own file may be newer to it than its zone's, which says the same by now."""
+        own, shared = self.targets.get((forwarder.zone, forwarder.proxy)), self.targets[forwarder.zone, None]
+        if own is None:
+            return False
+        if own.content == forwarder.content and shared.made > own.made:
+            del self.targets[forwarder.zone, forwarder.proxy]
+            return False
+        return True
+
     @staticmethod
     def commonest(members: list[Forwarder]) -> Content:
         """What most forwarders of a zone hold; of equals what the first does."""
--- a/stackwheel/files/reader.py
+++ b/stackwheel/files/reader.py
@@ -125,7 +125,7 @@
             return NotTaken(name, found)
         return await self.apply(name, found, now)
 
-    async def apply(self, name: str, accepted: Accepted, now: float) -> Taken:
+    async def apply(self, name: str, accepted: Accepted, now: float) -> News:
         """Memory first, then effect."""
         assert self.acceptor is not None
         before = self.acceptor.memory
@@ -139,6 +139,8 @@
             self.kept = failed is None
             self.say_kept(failed)
         held = accepted.held
+        if held.orders.until <= self.now():  # the disk took longer than the file may be used
+            return NotTaken(name, Refusal(Stage.AGE, "its time was over once the memory was kept"))
         if self.newest is None or held.orders.made >= self.newest.orders.made:
             self.newest, self.took = held, max(0.0, self.now() - held.orders.made)
         return Taken(name, held, bookings)
--- a/stackwheel/files/records.py
+++ b/stackwheel/files/records.py
@@ -50,6 +50,7 @@
     route: Word
     grant: Annotated[int, Meta(ge=1, le=1_000_000)]
     until: Time
+    made: Time = 0.0  # when it was first ordered, however often it comes
 
 
 class Orders(Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True, tag_field="kind", tag="orders"):
--- a/stackwheel/trials/exchange.py
+++ b/stackwheel/trials/exchange.py
@@ -121,7 +121,7 @@
             if host.running and host.desk is not None and host.desk.ledger.incarnation is not None:
                 self.ordered += 1
                 host.desk.ledger.book(Booking(f"b{self.ordered}", world.shape.classes[-1].name, 1,
-                                              self.now() + 15_000.0), self.now())
+                                              self.now() + 15_000.0, self.now()), self.now())
         world.loop.at(world.loop.now + BOOK_EVERY, None, self.book)
 
     # pushes
@@ -215,7 +215,8 @@
         last = self.applied.get(key)
         if last is not None and orders.mark < last:
             self.wrong(f"{key[1]}: number {orders.sequence} applied after {last[1]}", proxy=proxy.number)
-        self.applied[key] = max(orders.mark, last) if last is not None else orders.mark
+        if self.drivers[proxy.number].reader.kept:  # what can't be kept is not remembered after a restart
+            self.applied[key] = max(orders.mark, last) if last is not None else orders.mark
         if encode(orders, KEYS) not in self.written:
             self.wrong(f"{taken.name}: used, and no planner wrote it", proxy=proxy.number)
         if orders.until <= self.now():
--- a/tests/files/test_accept.py
+++ b/tests/files/test_accept.py
@@ -83,6 +83,13 @@
     assert take(again, whole(4, bookings=(order,)), whole(1, NEXT, bookings=(order,))) == ["taken", "taken"]
 
 
+def test_after_a_lost_memory_an_order_made_before_takes_no_effect_though_a_newer_file_brings_it() -> None:
+    """Seed 368 with files: it goes along with every file until it is over, and took effect once more."""
+    before, after = Booking("old", "book", 1, NOW + 9e4, NOW - 500.0), Booking("new", "book", 1, NOW + 9e4, NOW)
+    acceptor = Acceptor("east", 3, Memory(since=NOW - 100.0))
+    assert take(acceptor, whole(1, bookings=(before, after))) == ["taken new"]
+
+
 def test_an_order_that_is_over_takes_no_effect_and_is_forgotten() -> None:
     acceptor = Acceptor("east", 3)
     order = Booking("n0.1", "book", 3, NOW + 5000.0)
--- a/tests/files/test_ledger.py
+++ b/tests/files/test_ledger.py
@@ -88,6 +88,28 @@
     assert desk.readers[1].held["n0|east|1"].content.tables == {"read": {"b": 0.5, "c": 2.0}}
 
 
+def test_who_had_a_file_of_its_own_is_not_left_with_it_when_it_holds_what_the_zone_does() -> None:
+    """Else the zone's file does not move, the own one stays the newest, and what was ordered is never told."""
+    desk = Desk()
+    for proxy in (0, 1, 2):
+        desk.join(proxy)
+        desk.order(proxy, table({"a": 1.0, "b": 0.5}))
+    desk.push()
+    desk.now += 100.0
+    for proxy in (1, 2):
+        desk.order(proxy, table({"a": 0.0}, whole=False))
+    desk.push()  # the zone's file follows the most; the first gets its own
+    desk.now += 100.0
+    desk.order(0, table({"a": 0.0}, whole=False))
+    desk.push()
+    newest = max(desk.readers[0].held.values(), key=lambda held: held.orders.made)
+    assert newest.content.tables == {"read": {"b": 0.5}}
+    desk.now += 16_000.0
+    desk.push()
+    desk.push()
+    assert set(desk.ledger.targets) == {("east", None)}
+
+
 def test_changes_go_on_the_whole_file_until_the_next_one_is_due() -> None:
     desk, kinds = Desk(whole_every=3), []
     desk.join(0)
