Plant the defect of ignored ages at both places that look at them

A reader looks at a file's time again once its memory is kept; the deliberate defect passed the first check only, and its test found nothing.

--- a/stackwheel/files/reader.py
+++ b/stackwheel/files/reader.py
@@ -139,12 +139,15 @@
             self.kept = failed is None
             self.say_kept(failed)
         held = accepted.held
-        if held.orders.until <= self.now():  # the disk took longer than the file may be used
+        if self.over(held.orders):  # the disk took longer than the file may be used
             return NotTaken(name, Refusal(Stage.AGE, "its time was over once the memory was kept"))
         if self.newest is None or held.orders.made >= self.newest.orders.made:
             self.newest, self.took = held, max(0.0, self.now() - held.orders.made)
         return Taken(name, held, bookings)
 
+    def over(self, orders: Orders) -> bool:
+        return orders.until <= self.now()
+
     @staticmethod
     def say_kept(failed: SwapFailed | None) -> None:
         if failed is None:
--- a/stackwheel/trials/defects.py
+++ b/stackwheel/trials/defects.py
@@ -19,6 +19,7 @@
 from stackwheel.files import codec, desk
 from stackwheel.files.accept import Acceptor
 from stackwheel.files.disk import SwapFailed
+from stackwheel.files.reader import Reader
 from stackwheel.interface import Availability, Retry
 from stackwheel.rules.verdicts import Rule
 from stackwheel.state.module import Module
@@ -319,7 +320,8 @@
 
 def age_ignored() -> Sequence[Patch]:
     honest = Acceptor.offer
-    return [(Acceptor, "offer", lambda self, orders, now: honest(self, orders, min(now, orders.made)))]
+    return [(Acceptor, "offer", lambda self, orders, now: honest(self, orders, min(now, orders.made))),
+            (Reader, "over", lambda self, orders: False)]
 
 
 DEFECTS: tuple[Defect, ...] = (
