Take out state nobody read and copies of one call

Gone: Checker.invariant (another order of break_rule's arguments), unread fields of limits, targets, readers and proxies, four empty methods of the files' desk that the sockets alone need, a second switch for a planted defect, a second epoch, a test in the unifier that always held. A target's name is made in one place.

--- a/stackwheel/cli/trial.py
+++ b/stackwheel/cli/trial.py
@@ -5,7 +5,6 @@
 import json
 import time
 from collections.abc import Sequence
-from contextlib import nullcontext
 from pathlib import Path
 
 import click
@@ -27,7 +26,7 @@
 )
 from stackwheel.trials.script import Script, ScriptError, encode, load, words
 from stackwheel.trials.shrink import RUNS_MOST, Shrinker
-from stackwheel.trials.world import Result, run_script
+from stackwheel.trials.world import run_script
 
 SHOWN = 20  # broken seeds told one by one
 SEEDS_MOST = 10_000_000
@@ -128,7 +127,8 @@
 def replay(what: str, trace: bool, defect: str | None, files: bool, as_json: bool) -> int:
     """Run one seed or script file again, step by step the same."""
     script = script_of(what, files)
-    found = run_planted(script, defect, click.echo if trace else None)
+    with planted(named(defect)):
+        found = run_script(script, trace=click.echo if trace else None)
     if as_json:
         print(json.dumps({"digest": found.digest, "broken": [
             {"seed": script.seed, "rule": v.rule.value, "at": round(v.at / 1000.0, 3)} for v in found.verdicts],
@@ -144,15 +144,6 @@
     return 1 if found.verdicts else 0
 
 
-def run_planted(script: Script, defect: str | None, trace: object = None) -> Result:
-    chosen = named(defect) if defect is not None else None
-    tell = trace if callable(trace) else None
-    if chosen is None:
-        return run_script(script, trace=tell)
-    with planted(chosen):
-        return run_script(script, trace=tell)
-
-
 @trial.command()
 @click.argument("what", metavar="SEED|FILE")
 @click.option("--out", type=click.Path(dir_okay=False, path_type=Path), required=True, help="Where the script goes.")
@@ -164,13 +155,12 @@
 def shrink(what: str, out: Path, rule: str | None, runs: int, defect: str | None, files: bool) -> int:
     """Find the smallest script that still breaks the same rule, and save it."""
     script = script_of(what, files)
-    verdicts = run_planted(script, defect).verdicts
-    wanted = [v for v in verdicts if rule is None or v.rule is Rule[rule.upper()]]
-    if not wanted:
-        raise click.UsageError(f"{what} breaks no rule" + (f" {Rule[rule.upper()].value!r}" if rule else ""))
-    chosen = min(wanted, key=lambda v: v.at).rule
-    planting = named(defect) if defect is not None else None
-    with planted(planting) if planting is not None else nullcontext():
+    with planted(named(defect)):
+        verdicts = run_script(script).verdicts
+        wanted = [v for v in verdicts if rule is None or v.rule is Rule[rule.upper()]]
+        if not wanted:
+            raise click.UsageError(f"{what} breaks no rule" + (f" {Rule[rule.upper()].value!r}" if rule else ""))
+        chosen = min(wanted, key=lambda v: v.at).rule
         found = Shrinker(script, chosen, runs).run()
     try:
         out.write_bytes(encode(found.script))
--- a/stackwheel/files/desk.py
+++ b/stackwheel/files/desk.py
@@ -1,6 +1,6 @@
 """The planner's actor for files: beside the sockets or in their place, it writes orders and reads answers.
 
-It fills the module's `Outside` port for the forwarders that it knows. Disks are touched in threads only, each write
+It takes the module's orders for the forwarders that it knows. Disks are touched in threads only, each write
 within the pusher's bounds; a disk that fails is told of once, and what it missed is written when it works again.
 """
 
@@ -18,7 +18,6 @@
 from stackwheel.files.ledger import FileLine, Ledger
 from stackwheel.files.push import Attempt, Pusher
 from stackwheel.files.records import Answer, Incarnation, Orders
-from stackwheel.interface import Server
 from stackwheel.state.module import Item
 from stackwheel.state.orders import Message
 from stackwheel.state.streams import Line
@@ -46,27 +45,11 @@
         self.answers: dict[str, bytes] = {}  # name: bytes as last taken, so that what stands is not read anew
         self.tasks: set[asyncio.Task[None]] = set()
 
-    # the module's port, as far as files go
-
     def deliver(self, messages: Sequence[tuple[Line, Message]]) -> None:
         for line, message in messages:
             if isinstance(line, FileLine) and self.ledger.order(message):
                 self.woken.set()
 
-    def watch_list(self, on: bool) -> None:
-        pass  # discovery is the sockets'
-
-    def fetch_list(self) -> None:
-        pass
-
-    def probe(self, server: Server) -> None:
-        pass
-
-    def tell_peers(self, payload: bytes, peer: int | None) -> None:
-        pass
-
-    # the actor
-
     async def run(self) -> None:
         """Begin a life above all former ones that can be seen, then write and read until cancelled."""
         seen = await self.aside(self.former_lives)
@@ -95,8 +78,9 @@
         """Offer the files that are due, and begin the attempts that may go."""
         now = self.now()
         for orders in self.ledger.due(now):
-            if not self.pusher.offer(target_of(orders), encode(orders, self.keys), orders.sequence, now):
-                logger.error("files: too many targets, {} left out", target_of(orders))
+            target = target_name(orders.planner, orders.zone, orders.proxy)
+            if not self.pusher.offer(target, encode(orders, self.keys), orders.sequence, now):
+                logger.error("files: too many targets, {} left out", target)
         for attempt in self.pusher.attempts(now):
             task = asyncio.create_task(self.attempt(attempt))
             self.tasks.add(task)
@@ -164,8 +148,8 @@
         for item in self.ledger.answer(found, self.now()):
             self.post(item)
         if found.planner == self.ledger.planner:
-            for target in (f"zone-{found.zone}", f"proxy-{found.proxy}"):
-                self.pusher.confirm(f"{target}/{file_name(self.ledger.planner)}", found.applied, self.now())
+            for proxy in (None, found.proxy):
+                self.pusher.confirm(target_name(found.planner, found.zone, proxy), found.applied, self.now())
         self.woken.set()
 
 
@@ -176,11 +160,7 @@
         return []  # it is not there yet, or gone: nothing to read
 
 
-def file_name(planner: str) -> str:
-    return f"orders-{planner}{SUFFIX}"
-
-
-def target_of(orders: Orders) -> str:
-    """The folder and name of a file below the folder of all."""
-    place = f"zone-{orders.zone}" if orders.proxy is None else f"proxy-{orders.proxy}"
-    return f"{place}/{file_name(orders.planner)}"
+def target_name(planner: str, zone: str, proxy: int | None) -> str:
+    """The folder and name of a file below the folder of all: for a zone, or for one forwarder."""
+    place = f"zone-{zone}" if proxy is None else f"proxy-{proxy}"
+    return f"{place}/orders-{planner}{SUFFIX}"
--- a/stackwheel/files/ledger.py
+++ b/stackwheel/files/ledger.py
@@ -61,7 +61,6 @@
     whole: Orders | None = None
     since_whole: int = 0
     content: Content | None = None
-    confirmed: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,9 +238,6 @@
             del forwarder.marks[mark]
         if done:  # who answers the last has applied those before
             yield Said(forwarder.proxy, face.Acknowledged(forwarder.proxy, done[-1], answer.took), forwarder.line)
-        for target in (self.targets.get((forwarder.zone, None)), self.targets.get((forwarder.zone, forwarder.proxy))):
-            if target is not None:
-                target.confirmed = max(target.confirmed, min(answer.applied, target.sequence))
 
     def reports(self, forwarder: Forwarder, answer: Answer) -> Iterator[Item]:
         if answer.over <= 0:
--- a/stackwheel/files/reader.py
+++ b/stackwheel/files/reader.py
@@ -61,7 +61,6 @@
         self.salt = salt
         self.acceptor: Acceptor | None = None
         self.seen: dict[tuple[str, str], bytes] = {}  # folder and name: digest of the bytes as last looked at
-        self.waiting: dict[tuple[str, str], None] = {}  # changes whose whole file was missing: looked at again
         self.newest: Held | None = None  # what an answer speaks of
         self.took = 0.0
         self.sequence = 0
@@ -83,22 +82,21 @@
         """All that has changed in the folders, in the order that lets a change find its whole file."""
         found: list[tuple[str, Orders]] = []
         news: list[News] = []
-        for folder, name, data in await self.aside(self.changed):
+        for name, data in await self.aside(self.changed):
             document = decode(data, self.keys())
             if isinstance(document, Orders):
                 found.append((name, document))
             else:
                 news.append(NotTaken(name, document if isinstance(document, Refusal) else Refusal(
                     Stage.CONTENT, "no file of orders")))
-            self.waiting.pop((folder, name), None)
         for name, orders in sorted(found, key=lambda one: (one[1].mark, one[1].base is not None)):
             if (one := await self.offer(name, orders)) is not None:
                 news.append(one)
         return news
 
-    def changed(self) -> list[tuple[str, str, bytes]]:
+    def changed(self) -> list[tuple[str, bytes]]:
         """Files whose bytes are others than at the last look: in a thread."""
-        found: list[tuple[str, str, bytes]] = []
+        found: list[tuple[str, bytes]] = []
         for folder in self.place.folders:
             for name in names_of(self.disk, folder):
                 if not name.endswith(SUFFIX):
@@ -109,7 +107,7 @@
                 mark = hashlib.blake2b(data, digest_size=16).digest()
                 if self.seen.get((folder, name)) != mark:
                     self.seen[folder, name] = mark
-                    found.append((folder, name, data))
+                    found.append((name, data))
         for key in list(self.seen)[:max(0, len(self.seen) - SEEN_MOST)]:
             del self.seen[key]
         return found
--- a/stackwheel/operators/unify.py
+++ b/stackwheel/operators/unify.py
@@ -130,7 +130,6 @@
     def record(self, path: str, claims: list[Claim]) -> dict[str, Tree]:
         """All say it is a record: each field is unified by itself."""
         by_name: dict[str, list[tuple[Field, Claim]]] = {}
-        closed = next((c for c in claims if isinstance(c.value, Record) and not c.value.open), None)
         allowed: set[str] | None = None
         for claim in claims:
             found = claim.value
@@ -140,7 +139,7 @@
                 allowed = {f.name for f in found.fields} | (allowed or set())
             for one in found.fields:
                 by_name.setdefault(one.name, []).append((one, Claim(claim.source, one.value, scope)))
-        if allowed is not None and closed is not None:
+        if allowed is not None:
             self.refuse_unknown(path, by_name, allowed)
         tree: dict[str, Tree] = {}
         for name, said in by_name.items():
--- a/stackwheel/rules/checker.py
+++ b/stackwheel/rules/checker.py
@@ -9,7 +9,6 @@
 import heapq
 import math
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from stackwheel.interface import Availability, RequestClass
@@ -57,8 +56,7 @@
 class Checker:
     """Fed with events in order of time; `verdicts` holds what they broke, one for each rule and subject."""
 
-    def __init__(self, limits: Limits, classes: tuple[RequestClass, ...], zones: int,
-                 wall: Callable[[], float] = lambda: 0.0) -> None:
+    def __init__(self, limits: Limits, classes: tuple[RequestClass, ...], zones: int) -> None:
         self.limits, self.classes, self.zones = limits, classes, zones
         self.planners: dict[int, PlannerView] = {}
         self.proxies: dict[int, ProxyState] = {}
@@ -295,9 +293,3 @@
         if len(times) > self.limits.cap:
             self.break_rule(now, Rule.CAP, f"over {self.limits.cap} messages within "
                             f"{self.limits.cap_window / 1000.0:g} s", planner, proxy)
-
-    # the service's own invariants
-
-    def invariant(self, rule: Rule, now: float, detail: str, planner: int | None = None,
-                  proxy: int | None = None, server: str | None = None) -> None:
-        self.break_rule(now, rule, detail, planner, proxy, server)
--- a/stackwheel/rules/verdicts.py
+++ b/stackwheel/rules/verdicts.py
@@ -40,14 +40,12 @@
     cap: int  # 0: no limit
     cap_window: float
     only_draining_binds: bool
-    ask_within: float
 
     @classmethod
     def of(cls, settings: Settings) -> Limits:
         return cls(settings.unserved_max + ALLOWANCE, settings.drain_grace + ALLOWANCE,
                    settings.overload_for + ALLOWANCE, settings.fall_multiple, settings.backlog,
-                   settings.message_cap, settings.message_window, settings.only_draining_binds,
-                   settings.ask_within)
+                   settings.message_cap, settings.message_window, settings.only_draining_binds)
 
 
 @dataclass(frozen=True, slots=True)
--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -19,7 +19,7 @@
 from stackwheel.service.reload import Reload
 from stackwheel.state.clock import Clock
 from stackwheel.state.ids import Ids
-from stackwheel.state.module import Module, Outside
+from stackwheel.state.module import Module
 from stackwheel.state.orders import Message
 from stackwheel.state.roster import Roster
 from stackwheel.state.streams import Line
@@ -41,9 +41,11 @@
     return replace(settings, message_window=max(0.0, settings.message_window - JITTER))
 
 
-class Extra(Outside, Protocol):
+class Extra(Protocol):
     """Another way of speaking beside the sockets: it gets all orders, and takes those of its own forwarders."""
 
+    def deliver(self, messages: Sequence[tuple[Line, Message]]) -> None: ...
+
     async def run(self) -> None: ...
 
 
--- a/stackwheel/trials/defects.py
+++ b/stackwheel/trials/defects.py
@@ -49,11 +49,11 @@
 
 
 @contextmanager
-def planted(defect: Defect) -> Iterator[None]:
-    """The program with a defect; as it was afterwards."""
+def planted(defect: Defect | None) -> Iterator[None]:
+    """The program with a defect, if any; as it was afterwards."""
     kept: list[Patch] = []
     try:
-        for owner, name, value in defect.patches():
+        for owner, name, value in defect.patches() if defect is not None else ():
             kept.append((owner, name, owner.__dict__[name]))
             setattr(owner, name, value)
         yield
@@ -181,7 +181,7 @@
     def newer(self: Roster, listing: Listing) -> Listing:
         return listing
 
-    return [(Roster, "newer", newer)] if hasattr(Roster, "newer") else []
+    return [(Roster, "newer", newer)]
 
 
 def batch_cut() -> Sequence[Patch]:
@@ -380,7 +380,7 @@
 ALL_DEFECTS = DEFECTS + FILE_DEFECTS
 
 
-def named(name: str) -> Defect | None:
+def named(name: str | None) -> Defect | None:
     return next((defect for defect in ALL_DEFECTS if defect.name == name), None)
 
 
--- a/stackwheel/trials/exchange.py
+++ b/stackwheel/trials/exchange.py
@@ -26,6 +26,7 @@
 from stackwheel.state.streams import Stream
 from stackwheel.trials.disks import TrialDisk
 from stackwheel.trials.loop import Machine
+from stackwheel.trials.planners import EPOCH
 
 if TYPE_CHECKING:
     from stackwheel.service.app import Service
@@ -33,7 +34,6 @@
     from stackwheel.trials.proxies import Proxy
     from stackwheel.trials.world import World
 
-EPOCH_MS = 1_800_000_000_000.0
 LOOK = 0.1  # s between a forwarder's looks at its folders
 PUSH = (0.02, 0.2)  # s that a push takes
 BOOK_EVERY = 2.0  # s between orders for bookings
@@ -75,13 +75,13 @@
         world.loop.at(BOOK_EVERY, None, self.book)
 
     def wrong(self, why: str, planner: int | None = None, proxy: int | None = None) -> None:
-        self.world.checker.invariant(Rule.GENUINE, self.world.ms(), why, planner, proxy)
+        self.world.checker.break_rule(self.world.ms(), Rule.GENUINE, why, planner, proxy)
 
     def in_place(self, owner: str, path: str) -> None:
         self.wrong(f"{owner} wrote {path} in place")
 
     def now(self) -> float:
-        return EPOCH_MS + self.world.loop.now * 1000.0
+        return (EPOCH + self.world.loop.now) * 1000.0
 
     def aside(self, disk: TrialDisk) -> Callable[..., Any]:
         """In place of a thread: the disk's time passes, then the work is done."""
@@ -224,7 +224,7 @@
         for order in taken.bookings:
             done = self.effects[proxy.number, order.id] = self.effects.get((proxy.number, order.id), 0) + 1
             if done > 1:
-                self.world.checker.invariant(Rule.ONCE, self.world.ms(),
+                self.world.checker.break_rule(self.world.ms(), Rule.ONCE,
                                              f"booking order {order.id} took effect {done} times", None, proxy.number)
 
 
--- a/stackwheel/trials/planners.py
+++ b/stackwheel/trials/planners.py
@@ -5,10 +5,11 @@
 import signal
 import socket
 from collections.abc import Iterator, Mapping
+from functools import partial
 from typing import TYPE_CHECKING, Any, cast
 
 from stackwheel.files.desk import FileDesk
-from stackwheel.service.app import Service, Surroundings
+from stackwheel.service.app import Service, Surroundings, no_extras
 from stackwheel.service.config import Config, ConfigError, read_config
 from stackwheel.trials.loop import Machine
 from stackwheel.trials.network import Address
@@ -95,7 +96,7 @@
         loop = world.loop
         exchange = world.exchange
         around = Surroundings(
-            extras=(lambda service: exchange.extras(self, service)) if exchange is not None else lambda service: [],
+            extras=partial(exchange.extras, self) if exchange is not None else no_extras,
             wall=lambda: EPOCH + loop.now, steady=lambda: loop.now, load=self.load,
             listen_at=lambda address: cast(socket.socket, world.network.listen(self.machine, self.address)),
             signals_on=lambda: world.planner_up(self))
--- a/stackwheel/trials/proxies.py
+++ b/stackwheel/trials/proxies.py
@@ -138,7 +138,6 @@
         self.unserved = [0] * len(self.routes)
         self.met: dict[str, list[float]] = {}  # server: tries, failures, time of the rest
         self.reported = world.loop.now
-        self.orders: deque[Order] = deque()
 
     # streams
 
@@ -234,7 +233,7 @@
 
     def refuse(self, stream: Stream, why: str) -> None:
         """An order that can't be used: the stream is reset, and the planner is to blame."""
-        self.world.checker.invariant(Rule.USABLE, self.world.ms(), why, stream.planner, self.number)
+        self.world.checker.break_rule(self.world.ms(), Rule.USABLE, why, stream.planner, self.number)
         if stream.transport is not None:
             stream.transport.abort()
         self.stream_ended(stream)
--- a/stackwheel/trials/world.py
+++ b/stackwheel/trials/world.py
@@ -220,10 +220,10 @@
             held = proxy.holdings.routes[proxy.routes[place]]
             why = disagreement(held.lines, wanted) or level_disagreement(held.level, levels[place])
             if why is not None:
-                self.checker.invariant(Rule.AGREES, self.ms(), f"class {place}: {why}", host.number, proxy.number)
+                self.checker.break_rule(self.ms(), Rule.AGREES, f"class {place}: {why}", host.number, proxy.number)
         for server, out in shut.items():
             if (server in proxy.holdings.shut) != out:
-                self.checker.invariant(Rule.AGREES, self.ms(), f"{server} shut out: {not out}, believed {out}",
+                self.checker.break_rule(self.ms(), Rule.AGREES, f"{server} shut out: {not out}, believed {out}",
                                        host.number, proxy.number)
 
     def on_wrote(self, end: Transport, data: bytes) -> None:
@@ -243,7 +243,7 @@
         error = f": {record['exception'].value!r}" if record["exception"] else ""
         machine = self.loop.machine
         planner = self.planner_of(machine) if machine is not None else None
-        self.checker.invariant(Rule.UPRIGHT, self.ms(), record["message"][:300] + error, planner)
+        self.checker.break_rule(self.ms(), Rule.UPRIGHT, record["message"][:300] + error, planner)
 
     # planners
 
@@ -545,7 +545,7 @@
         for host in self.hosts:
             if host.running and not host.machine.still and self.checker.planners.get(host.number) is not None:
                 for why in over_bounds(list(host.figures())):
-                    self.checker.invariant(Rule.BOUNDED, self.ms(), why, host.number)
+                    self.checker.break_rule(self.ms(), Rule.BOUNDED, why, host.number)
         self.loop.at(self.loop.now + BOUNDS, None, self.look_at_bounds)
 
     def begin(self) -> None:
@@ -573,7 +573,7 @@
             self.begin()
             self.loop.run_until(self.script.span)
             for why in self.loop.faults[:3]:
-                self.checker.invariant(Rule.UPRIGHT, self.ms(), why)
+                self.checker.break_rule(self.ms(), Rule.UPRIGHT, why)
             return self.result()
         finally:
             self.loop.close()
--- a/tests/rules/test_checker.py
+++ b/tests/rules/test_checker.py
@@ -13,7 +13,7 @@
 BOOK = RequestClass("book", effect="once")
 NEAR = RequestClass("near", zone_bound=True)
 LIMITS = Limits(unserved=5000.0, drain=3000.0, overload=2000.0, fall_multiple=3.0, backlog=100.0, cap=3,
-                cap_window=10_000.0, only_draining_binds=False, ask_within=10_000.0)
+                cap_window=10_000.0, only_draining_binds=False)
 READY = Listed(Availability.READY, 0, 0, 0.0)
 DRAINING = Listed(Availability.DRAINING, 0, 0, 0.0)
 GONE = Listed(Availability.GONE, 0, 0, 0.0)
