Bring new servers into tables in time: lines shared by classes, turns, full probes seen

Seen, per slot and planner: from 13.3 s on servers that came had a goal of 34 to 360 requests a second at n1 (352 proxies), and the tables sent held 0 of it until 26 s (`cold goal/sent 139/0` at 18.8 s), so 48 of 120 servers carried all; 16,448 tries met a full server from 15 to 20 s, and clients came 2.1 times for each request until the end. The allowance for changes was under zero in 30 of 36 slots: one line in all tables is 352 lines, 7 with its head, for each of three classes, at 1,280 a second. Shedding stayed at 0 until 22.8 s at n1: of its probes 43 were turned away with 503 and 1 answered (19.8 s), and only answers counted. Part of cold servers at n1 0.35 with 55% of all demand, as the two planners that had restarted told nothing (2 peers heard). Ruled out: withdrawals late (none in tables 5 s after being told), reports lost (spans 9 s, but all servers heard), processor (0.38 s in the worst second), ejections (at most 14).

At fault: `lay_tables` (a table for each class, though classes that may go to the same servers get the same), `moves` (the largest shares first, so newcomers last), `send_group` (one message to all of a zone, two lines and five of head), `take` (a probe without a load says nothing), `run_slot` (tells peers only after reports), and `Orders.parts`, which wrote a shared line once for each level.

Changed: classes that may go to the same servers share a table where the channel cannot replace a table for each class within the drain grace; a zone's proxies take turns in groups whose messages are at most a sixth heads; lines rank by the change of load for their server, and while a tenth of a table is not sent yet, what lacks comes at once; what went leaves all tables before that; a probe that is turned away or unanswered says the server is full; a planner without proxies tells that it sends nothing. The peers' datagrams have a codec of their own.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import random
-import struct
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from stackwheel import interface as face
+from stackwheel import peers
 from stackwheel.interface import Action, Event, Retry, Server, ServerEntry, Settings
 
 # Estimates
@@ -32,8 +33,9 @@
 PANIC_SHARE, TRICKLE, HOLD, HOLD_MOST = 0.4, 0.05, 3.0, 16.0  # ejected: most, even share left, cycles up to
 PACE, PACE_SPAN = 0.4, 2.0  # of the stated rate, for changes; cycles of it for one zone's in one go
 BUSY, FULL, DELTA_MESSAGES = 0.25, 0.8, 0.6  # of the backlog: add to no queue over; nor beyond; of the cap
-CLOSE = 0.1  # of the drain grace: what comes sooner after a message to a proxy waits for the next
 FIRST_BY, FIRST_LEAST, GROW, AGAIN = 0.4, 4, 0.05, 0.1  # of the grace; lines; of the backlog; of a cycle
+CLOSE = 0.1  # of the drain grace: what comes sooner after a message to a proxy waits for the next
+HEADS, LACKING = 5.0, 0.1  # heads' worth of lines in a message; of a table not sent yet: it can't wait
 SLOWEST, LATE, MARKS = 0.2, 0.6, 1 << 16  # of its rate, if unheard; of a full queue's time: slowed; marks
 LATE_SPAN, SPAN_GAIN = 4.0, 0.05  # cycles of reports so late that probes are worth it; step to a new span
 PROBES, LOOKED, HOLDS = 0.06, 3.0, 2.0  # a request; cycles that a probe counts for; windows, a report
@@ -41,7 +43,6 @@
 SHED_GAIN, SHED_BACK, SHED_MOST = 0.5, 0.2, 0.95  # step to there; share back in a calm slot; limit
 LEAST_LEVEL, ALL, NO_LIMIT = 0.05, 0.99, 1e6  # least share let in; what counts as all; no rate limit
 FURTHER_TRY = Retry.ONCE_IF_UNTRIED  # safe for any class; after any failure it doubled the work under strain
-PEER_LINE, PEER_LINES = struct.Struct(">6sH"), 32  # a server, tenths of requests a second; lines a message
 PEERS_MOST, ASK_MOST = 128, 0.4  # messages of peers in a cycle; of the time to ask again in
 SLOT_TOKEN, LIST_TOKEN, NOW, COLD, SOON, LATER = 1 << 32, 2 << 32, 0, 1, 2, 3  # timers; how a line waits
 Key = tuple[int, int]  # zone and class: what a table is for
@@ -64,7 +65,8 @@
     hold: float = 0.0
     draw: float = 1.0  # of its own, for thin lines
     asked_at: float = -math.inf  # when it was last probed
-    looked_at: float = -math.inf  # and told its load
+    looked_at: float = -math.inf  # and told its load, or
+    full: bool = False  # that it takes no more
 
     @property
     def rate(self) -> float:
@@ -81,7 +83,7 @@
 
     number: int
     zone: int
-    places: tuple[int, ...]  # of the classes
+    places: tuple[int, ...]  # of the classes that share it, as they may go to the same servers
     members: list[Server] = field(default_factory=list)  # of a short table: the servers that it may hold
     shares: Rates = field(default_factory=dict)
     sent: Rates = field(default_factory=dict)
@@ -92,13 +94,13 @@
         return sum(self.sent[s] for s in both) / (sum(self.shares[s] for s in both) or math.inf) or 1.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Group:
     """The tables that some proxies of a zone use together, written to in one message each."""
 
     tables: list[Table]
     written: float = -math.inf  # when changes last went to all of them
-    demand: float = 0.0  # of the proxies put on it so far
+    users: dict[int, float] = field(default_factory=dict)  # proxies and the demand each came with
 
     def lines(self) -> int:
         return sum(len(table.sent) + 1 + len(table.places) for table in self.tables)
@@ -110,8 +112,7 @@
     demand: list[float]  # by class, of the seconds that had any
     due: list[float]  # expected of classes that it has not told of
     joined: float = 0.0
-    fresh: bool = False  # it holds only its standing tables
-    group: Group | None = None  # None: it waits for tables
+    group: Group = field(default_factory=lambda: Group([]))  # none of ours yet
 
 
 class Outbox:
@@ -122,6 +123,7 @@
         self.slowed, self.head = False, settings.overhead + 1.0  # with the mark
         self.pace = PACE * settings.channel_rate / 1000.0  # lines a millisecond for changes
         self.allowance = self.span = PACE_SPAN * settings.cycle * self.pace
+        self.crowd = self.span / PACE_SPAN / (HEADS * self.head)  # of one group: else most lines are heads
         self.written: dict[int, list[float]] = {}  # when messages went to a proxy, whatever stream it had
         self.waiting: dict[int, list[float]] = {}  # by mark, oldest first: lines unheard of, lines a message
 
@@ -133,7 +135,7 @@
     def acknowledge(self, mark: int, elapsed: float) -> None:  # messages leave in order
         if mark in self.waiting:
             full = 1000.0 * self.settings.backlog / self.settings.channel_rate
-            self.slowed = elapsed > 2 * self.settings.transit + LATE * full  # then it is kept for the urgent
+            self.slowed = elapsed > 2 * self.settings.transit + LATE * full
             self.waiting = dict(list(self.waiting.items())[list(self.waiting).index(mark):])
             self.waiting[mark][0] -= self.waiting[mark][1]
             self.queued = min(self.queued, sum(left for left, _ in self.waiting.values()))
@@ -175,13 +177,11 @@
         self.servers: dict[Server, ServerView] = {}
         self.proxies: dict[int, ProxyView] = {}
         self.waiting: dict[int, None] = {}  # proxies that have no tables of ours
-        self.tables: dict[Key, Table] = {}
         self.groups: dict[int, dict[int, list[Group]]] = {}  # by zone and lines of a short table; 0: whole
         self.goals: dict[Key, Rates] = {}  # of the last spread
         self.peers: dict[int, tuple[float, Rates]] = {}  # when heard, and what they send where
         self.shed = self.level = self.calm = self.counted = 0.0
         self.failures, self.part, self.again, self.span = 0, 1.0, 0.0, 0.0  # calls; our part; next try
-        self.left_at = -math.inf  # when a server last began to drain or went
         self.flow: dict[Key, list[float]] = {}  # requests told of since the last count; a second, by counts
 
     def handle(self, now: float, events: Iterable[Event]) -> list[Action]:
@@ -208,22 +208,25 @@
                 self.take_report(event)
             case face.DemandReport():
                 self.take_demand(event)
-            case face.ProxyJoined(proxy, zone, rate, fresh):
+            case face.ProxyJoined(proxy, zone, rate, _):
                 each = [bounded(rate, 0.0, NO_LIMIT) / max(1, len(self.places)) for _ in self.places]
-                self.proxies[proxy] = ProxyView(zone, each, [*each], self.now, fresh)
+                self.proxies[proxy] = ProxyView(zone, each, [*each], self.now)
                 self.waiting[proxy] = None
             case face.ProxyLeft(proxy) if proxy in self.proxies:
                 self.waiting.pop(proxy, None)
                 gone = self.proxies.pop(proxy)
+                gone.group.users.pop(proxy, None)
                 for told, rate, due in zip(self.told(gone.zone), gone.demand, gone.due, strict=True):
                     told[1] = max(0.0, told[1] - rate * (not due))
-            case face.ProbeResult(server, _, _, load) if server in self.servers and load:
-                self.servers[server].looked_at = self.now
-                self.take_load(self.servers[server], load)
+            case face.ProbeResult(server, outcome, _, load) if server in self.servers:
+                view = self.servers[server]
+                view.full = outcome in (face.Probed.TURNED_AWAY, face.Probed.NO_ANSWER)
+                view.looked_at = self.now if load or view.full else view.looked_at
+                self.take_load(view, load)
             case face.Acknowledged(_, mark, elapsed):
                 self.outbox.acknowledge(mark, elapsed)
             case face.PeerMessage(sender, payload):
-                sent = {**self.peers.get(sender, (0.0, {}))[1], **read_peer(payload)}
+                sent = {**self.peers.get(sender, (0.0, {}))[1], **peers.unpack(payload)}
                 self.peers[sender] = self.now, {s: rate for s, rate in sent.items() if s in self.servers}
             case face.TimerFired(token) if token == LIST_TOKEN:
                 self.actions.append(face.Subscribe())
@@ -245,7 +248,7 @@
             gone |= self.servers.keys() - entries.keys()
         for server in [s for s in self.servers if s in gone and not self.settings.only_draining_binds]:
             del self.servers[server]
-            self.urgent, self.left_at = True, self.now
+            self.urgent = True
 
     def take_entry(self, entry: ServerEntry) -> None:
         known = self.servers.setdefault(entry.server, ServerView(entry, draw=self.random.uniform(0.05, 1.0)))
@@ -254,8 +257,6 @@
         self.urgent |= (entry.started > known.entry.started
                         or entry.availability is not known.entry.availability)
         self.servers[entry.server].entry = entry
-        if entry.availability is face.Availability.DRAINING:
-            self.left_at = self.now
 
     def ready(self) -> list[ServerView]:
         return [v for v in self.servers.values() if v.entry.availability is face.Availability.READY]
@@ -327,10 +328,11 @@
             self.update_estimates()
             self.judge_health()
             self.set_shedding()
-            self.tell_peers()
             late = self.span > LATE_SPAN * self.settings.cycle  # else reports tell as well, for nothing
             if late and self.settings.probes_allowed and "outstanding" in self.settings.load_columns:
                 self.probe()
+        if told or not self.proxies:  # who has none says so, else its part of what is cold lies idle
+            self.tell_peers()
         self.forget_groups()
         self.move_tables()
         self.send_changes()
@@ -396,14 +398,13 @@
         return max(heard, total - view.rate)
 
     def tell_peers(self) -> None:  # what we send to each server, none left out
-        lines = [PEER_LINE.pack(s, round(bounded(v.rate * 10, 0, 65535))) for s, v in self.servers.items()]
+        told = peers.pack({s: v.rate if self.proxies else 0.0 for s, v in self.servers.items()})
         others = self.settings.planners - 1 if self.settings.peers_allowed else 0
-        if 0 < others * len(lines) <= PEERS_MOST * PEER_LINES:  # what each would have to read
-            for first in range(0, len(lines), PEER_LINES):
-                self.actions.append(face.TellPeers(b"".join(lines[first:first + PEER_LINES])))
+        if 0 < others * len(told) <= PEERS_MOST:  # what each would have to read
+            self.actions += [face.TellPeers(payload) for payload in told]
 
     def probe(self) -> None:  # the longest unseen first: reports come late
-        used = {s for table in self.tables.values() for s in table.sent if s in self.servers}
+        used = {s for group in self.all_groups() for t in group.tables for s in t.sent if s in self.servers}
         budget = int(min(len(used), PROBES * sum(self.demand()) * self.settings.cycle / 1000.0))
         for server in sorted(used, key=lambda s: (self.servers[s].asked_at, s))[:budget]:
             self.servers[server].asked_at = self.now
@@ -435,7 +436,7 @@
         self.part = part * (1 + len(heard)) / max(self.settings.planners, 1 + len(heard))
         present = {s: v.capacity * self.warmth(v) for s, v in self.servers.items()}
         order = sorted(self.places, key=lambda p: (len(self.open_to(p)), p))  # least choice first
-        keys = sorted(self.tables, key=lambda key: (order.index(key[1]), key[0]))
+        keys = [(zone, place) for place in order for zone in sorted(self.groups)]
         pull = {key: self.attraction(*key) for key in keys}
         left = {(zone, place): max(1e-3, self.demand(zone)[place]) for zone, place in keys}
         placed = {key: dict.fromkeys(pull[key], 0.0) for key in keys}
@@ -479,10 +480,8 @@
         """Move every table a capped step towards the spread; what is cold or fails jumps to its safe goal."""
         self.expect_capacity()
         self.goals, ready = self.spread(), self.ready()
-        for key, table in self.tables.items():
-            self.move_table(table, self.as_shares(self.goals[key]), ready)
-        for size, groups in [found for sizes in self.groups.values() for found in sizes.items() if found[0]]:
-            self.move_short(size, groups, ready)
+        for size, groups in [found for sizes in self.groups.values() for found in sizes.items()]:
+            self.move_groups(size, groups, ready)
 
     def move_table(self, table: Table, goal: Rates, ready: list[ServerView]) -> None:
         jump = {v.entry.server for v in ready if not table.sent or not self.sound(v)}
@@ -495,12 +494,16 @@
             held[server] = old + bounded(new - old, -most, most)
         table.shares = {s: share for s, share in held.items() if share >= LEAST_SHARE or s in goal}
 
-    def move_short(self, size: int, groups: list[Group], ready: list[ServerView]) -> None:
+    def move_groups(self, size: int, groups: list[Group], ready: list[ServerView]) -> None:
         """Short tables together hold what is most wanted of a zone, and each of them some that are sound."""
         for tables in zip(*(group.tables for group in groups), strict=True):
-            rates = [self.goals[tables[0].zone, place] for place in tables[0].places]
-            wanted = self.as_shares({s: rate for s in (v.entry.server for v in ready)
-                                     if (rate := sum(by_class.get(s, 0.0) for by_class in rates)) > 0})
+            goals = [self.goals[tables[0].zone, place] for place in tables[0].places]
+            rates = {s: sum(goal.get(s, 0.0) for goal in goals) for s in (v.entry.server for v in ready)}
+            wanted = self.as_shares({s: r for s, r in rates.items() if r > 0 or (not size and s in goals[0])})
+            if not size:
+                for table in tables:
+                    self.move_table(table, wanted, ready)
+                continue
             missing = wanted.keys() - {s for table in tables for s in table.members}
             fits = 2 * size * len(groups) - sum(len(table.members) for table in tables)
             for server in sorted(missing, key=lambda s: (-wanted[s], s))[:max(0, fits)]:
@@ -521,29 +524,27 @@
                 if self.ejected(views[s]) or share >= LEAST_SHARE * views[s].draw} or shares
 
     def send_changes(self) -> None:
-        self.urgent, self.held, self.again = False, False, self.now + AGAIN * self.settings.cycle
-        users: dict[int, list[int]] = {}
-        for number, proxy in self.proxies.items():
-            users.setdefault(id(proxy.group), []).append(number)
-        # groups in turn, the least lately written first, so that none starves another
-        groups = [g for _, sizes in sorted(self.groups.items()) for some in sizes.values() for g in some]
+        """What went leaves all tables before anything else is sent; the least lately written go first."""
+        self.urgent, self.again = False, self.now + AGAIN * self.settings.cycle
+        groups, ready = self.all_groups(), {v.entry.server for v in self.ready()}
+        owed = sum(len(g.users) * sum(s not in ready for t in g.tables for s in t.sent) for g in groups)
+        self.held = owed > self.outbox.room(self.lines, BUSY)
+        strict = self.held or bool(self.waiting)
         for group in sorted(groups, key=lambda group: group.written):
-            self.send_group(group, users.get(id(group), []))
+            self.send_group(group, list(group.users), strict)
 
-    def send_group(self, group: Group, users: list[int]) -> None:
+    def send_group(self, group: Group, users: list[int], strict: bool) -> None:
         """Send a group in one message what must not wait, then the largest moves, as many as fit."""
-        tables, each = group.tables, max(1, len(users))
-        # who waits may hold servers that went: until then only what the rules need
-        risk = any(not self.proxies[number].fresh or self.left_at > -math.inf for number in self.waiting)
+        tables, each, head = group.tables, max(1, len(users)), self.outbox.head
         moves = sorted(move for place, table in enumerate(tables) for move in self.moves(place, table)
-                       if not risk or move[0] <= COLD)
+                       if not strict or move[0] <= COLD)
         levels = [self.wanted_levels(table) for table in tables]
         news = sum(1 for table, wanted in zip(tables, levels, strict=True) for place, level in wanted.items()
                    if differs(level, table.levels.get(place)))
         pressing = sum(1 for move in moves if move[0] < LATER)
-        usual = max(self.outbox.head, self.outbox.span / each - self.outbox.head)
-        usual *= not (risk or self.outbox.allowance <= 0 or (self.outbox.slowed and self.outbox.queued > 0))
-        full = self.outbox.room(self.lines, FULL) / each - self.outbox.head - news
+        spent = self.outbox.allowance <= 0 or (self.outbox.slowed and self.outbox.queued > 0)
+        usual = 0.0 if strict or spent else max(head, self.outbox.span / each - head)
+        full = self.outbox.room(self.lines, FULL) / each - head - news
         most = int(bounded(max(pressing, usual), 0, max(0, full)))
         kept = moves and moves[0][0] <= COLD  # for the rules: a reserve of the cap
         since = self.now - group.written
@@ -557,20 +558,21 @@
         if chosen or (news and usual and fits):
             for place, table in enumerate(tables):
                 self.write(table, users, {s: w for _, _, at, s, w in chosen if at == place}, levels[place])
-            self.outbox.allowance -= each * (self.outbox.head + len(chosen)) if usual else 0.0
+            self.outbox.allowance -= each * (head + len(chosen)) if usual else 0.0
             group.written = self.now if chosen else group.written
 
     def moves(self, place: int, table: Table) -> list[Move]:
-        """Lines that moved by over a tenth: the unsafe, any of a table run dry, then the largest."""
+        """Lines that moved by over a tenth: the unsafe, what lacks, then the largest for their servers."""
         scale, ready, found = table.scale(), {v.entry.server: v for v in self.ready()}, []
-        bare = not any(server in ready and self.sound(ready[server]) for server in table.sent)
+        lacking = sum(x for s, x in table.shares.items() if s not in table.sent) > LACKING
         for server in dict.fromkeys([*table.shares, *table.sent]):
             new, old = scale * table.shares.get(server, 0.0), table.sent.get(server, 0.0)
             sound = server in ready and self.sound(ready[server])
-            safe = not (bare and new > 0) and (sound or old <= OVERWEIGHT * new)
             if abs(new - old) > WORTH_SENDING * max(new, old) or (old > 0) != (new > 0):
                 unsafe = NOW if server not in ready else COLD if self.warmth(ready[server]) < 1.0 else SOON
-                found.append((LATER if safe else unsafe, -abs(new - old), place, server, new))
+                wait = SOON if lacking and old == 0 else LATER if sound or old <= OVERWEIGHT * new else unsafe
+                able = ready[server].capacity * self.warmth(ready[server]) if server in ready else 0.0
+                found.append((wait, -abs(new - old) / (able or 1.0), place, server, new))
         return found
 
     def write(self, table: Table, users: list[int], changes: Rates, levels: dict[int, face.Level]) -> None:
@@ -601,66 +603,66 @@
         return left / 1000.0 * self.settings.channel_rate / max(1, crowd) - self.outbox.head
 
     def group_for(self, proxy: ProxyView, each: float) -> Group:  # short tables in a crowd
-        whole = self.groups[proxy.zone][0][0]
+        whole = min(self.groups[proxy.zone][0], key=lambda group: len(group.users))
         if each >= whole.lines():
-            return whole
+            return whole if len(whole.users) < self.outbox.crowd else self.deal(proxy.zone, 0, 1)[0]
         size = 4 ** (max(FIRST_LEAST, int(each) - 1 - len(self.places)).bit_length() - 1 >> 1)
         if size not in self.groups[proxy.zone]:
-            self.deal(proxy.zone, size, max(len(table.shares) for table in whole.tables))
-        return min(self.groups[proxy.zone][size], key=lambda group: group.demand)
+            self.deal(proxy.zone, size, max(1, round(max(len(t.shares) for t in whole.tables) / size)))
+        return min(self.groups[proxy.zone][size], key=lambda group: sum(group.users.values()))
+
+    def deal(self, zone: int, size: int, count: int) -> list[Group]:  # deals a zone's servers out
+        used = {table.number for group in self.all_groups() for table in group.tables}
+        free = (number for number in itertools.count() if number not in used)
+        sets = self.alike if size or self.crowded() else [(place,) for place in self.places]
+        found = [Group([Table(next(free), zone, places) for places in sets]) for _ in range(count)]
+        self.groups[zone].setdefault(size, []).extend(found)
+        self.move_groups(size, found, self.ready())
+        for table in [table for group in found for table in group.tables]:
+            self.write(table, [], table.shares, self.wanted_levels(table))
+        return found
 
-    def deal(self, zone: int, size: int, servers: int) -> None:  # deals a zone's servers out
-        found = self.groups[zone][size] = [Group([]) for _ in range(max(1, round(servers / size)))]
-        for group, places in [(group, places) for group in found for places in self.alike]:
-            group.tables.append(Table(self.number(), zone, places))  # shared by classes that may
-        self.move_short(size, found, self.ready())
-        self.write_new([table for group in found for table in group.tables])
+    def crowded(self) -> bool:  # the channel can't replace a whole table for each class in the drain grace
+        mine = self.settings.proxies / self.settings.planners * len(self.places) * len(self.ready())
+        return 1000.0 * mine > self.settings.channel_rate * self.settings.drain_grace
 
-    def number(self) -> int:
-        used = {t.number for sizes in self.groups.values() for groups in sizes.values() for group in groups
-                for t in group.tables}
-        return min(set(range(len(used) + 1)) - used)
+    def all_groups(self) -> list[Group]:
+        return [g for _, sizes in sorted(self.groups.items()) for some in sizes.values() for g in some]
 
     def bind(self, number: int, group: Group, share: float) -> bool:
         lines, proxy = group.lines(), self.proxies[number]
         if min(self.outbox.room(self.lines, share), self.outbox.room(self.lines, FULL) - lines) < 0:
             return False
         self.actions += [face.AssignTable(number, table.number, table.places) for table in group.tables]
-        self.lines[number], proxy.group = lines, group
-        group.demand += sum(proxy.demand)
+        proxy.group.users.pop(number, None)
+        self.lines[number], proxy.group, group.users[number] = lines, group, sum(proxy.demand)
         self.waiting.pop(number, None)
         return True
 
     def grow_tables(self) -> None:
         if self.outbox.room(self.lines, GROW) < 0:
             return
-        whole = {zone: sizes[0][0] for zone, sizes in self.groups.items()}
         short = [(-sum(p.demand), number) for number, p in self.proxies.items()
-                 if p.group is not whole[p.zone] and self.outbox.may_write(number, DELTA_MESSAGES)]
-        all(self.bind(number, whole[self.proxies[number].zone], GROW) for _, number in sorted(short))
-
-    def forget_groups(self) -> None:  # short tables unused, zones without proxies
-        used, zones = {id(p.group) for p in self.proxies.values()}, {p.zone for p in self.proxies.values()}
-        for zone, size in [(zone, size) for zone, sizes in self.groups.items() for size in sizes]:
-            if zone not in zones or (size and not used & set(map(id, self.groups[zone][size]))):
-                gone = self.groups[zone].pop(size)
-                self.actions += [face.ClearTable(table.number) for group in gone for table in group.tables]
+                 if p.group not in self.groups[p.zone][0] and self.outbox.may_write(number, DELTA_MESSAGES)]
+        all(self.bind(n, self.group_for(self.proxies[n], math.inf), GROW) for _, n in sorted(short))
+
+    def forget_groups(self) -> None:  # short tables unused, whole ones too many, zones without proxies
+        zones, before = {proxy.zone for proxy in self.proxies.values()}, self.all_groups()
+        for zone, sizes in self.groups.items():
+            for size, groups in sizes.items():
+                used = [group for group in groups if group.users]
+                sizes[size] = groups if size and used else used or groups[:zone in zones and not size]
+            self.groups[zone] = {size: groups for size, groups in sizes.items() if groups}
         self.groups = {zone: sizes for zone, sizes in self.groups.items() if sizes}
-        self.tables = {key: table for key, table in self.tables.items() if key[0] in self.groups}
+        kept = self.all_groups()
+        self.actions += [face.ClearTable(t.number) for g in before if g not in kept for t in g.tables]
 
     def lay_tables(self, zones: set[int]) -> None:  # of zones that had none, in one spread
-        new = zones - self.groups.keys()
-        for zone, place in [(zone, place) for zone in sorted(new) for place in self.places]:
-            whole = self.groups.setdefault(zone, {0: [Group([])]})[0][0]
-            self.tables[zone, place] = Table(self.number(), zone, (place,))
-            whole.tables.append(self.tables[zone, place])
-        if new:
+        if new := zones - self.groups.keys():
+            self.groups.update({zone: {} for zone in new})
             self.move_tables()
-            self.write_new([table for (zone, _), table in self.tables.items() if zone in new])
-
-    def write_new(self, tables: list[Table]) -> None:
-        for table in tables:
-            self.write(table, [], table.shares, self.wanted_levels(table))
+            for zone in sorted(new):
+                self.deal(zone, 0, 1)
 
     def set_shedding(self) -> None:
         """Shed what is beyond known capacity, and while half of the traffic is slow what is not answered."""
@@ -668,7 +670,8 @@
         middle = median([answer for _, answer, _, _ in met], [tries for _, _, tries, _ in met])
         seen = [v for v in self.ready() if v.looked_at > self.now - LOOKED * self.settings.cycle]
         if seen:  # what waits there now, in time at its capacity
-            middle = median([v.load["outstanding"] * 1000.0 / (v.capacity * self.warmth(v)) for v in seen])
+            middle = median([math.inf if v.full else v.load["outstanding"] * 1000.0
+                             / (v.capacity * self.warmth(v)) for v in seen])
         answered = sum(rate for _, _, _, rate in met)  # by the newest reports: an average lags a jam's end
         demand = max(1e-3, sum(self.demand()))
         if middle > max(SLOW_AIMS * self.mean_aim, SLOW_CALM * self.calm):
@@ -750,8 +753,3 @@
             return budget / (len(ordered) - place)
         budget -= rate
     return max(ordered, default=NO_LIMIT)
-
-
-def read_peer(payload: bytes) -> Rates:
-    whole = len(payload) - len(payload) % PEER_LINE.size
-    return {Server(server): rate / 10 for server, rate in PEER_LINE.iter_unpack(payload[:whole])}
--- a/stackwheel/interface.py
+++ b/stackwheel/interface.py
@@ -33,6 +33,17 @@
     TWICE = 3
 
 
+class Probed(IntEnum):
+    """How a probe ended; other figures that an adapter may give count as an error."""
+
+    ERROR = 0
+    OK = 1
+    TURNED_AWAY = 2  # by a server that is full, draining or probed too often at once
+    NO_ANSWER = 3  # in time
+    UNREACHABLE = 4
+    RESET = 5
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
     name: str = ""
@@ -111,7 +122,7 @@
 @dataclass(frozen=True, slots=True)
 class ProbeResult:
     server: Server
-    outcome: int
+    outcome: int  # of Probed
     elapsed: float
     load: tuple[float, ...] = ()
 
--- a/stackwheel/state/orders.py
+++ b/stackwheel/state/orders.py
@@ -82,7 +82,7 @@
             self.apply(action, touched)
         if touched == Touched():  # most batches order nothing
             return []
-        parts: dict[tuple[object, ...], Part] = {}  # proxies of a table share its parts
+        parts: dict[tuple[object, ...], tuple[Part, ...]] = {}  # proxies of a table share its parts
         messages = [self.message(stream, touched, parts) for stream in self.streams.by_proxy.values()]
         everyone = touched.mark is not None and touched.mark.everyone
         return [m for m in messages if everyone or m.parts or m.shut or m.back]
@@ -125,32 +125,42 @@
             return own or everywhere
         return min(own[0], everywhere[0]), own[1]
 
-    def message(self, stream: Stream, touched: Touched, parts: dict[tuple[object, ...], Part]) -> Message:
+    def message(self, stream: Stream, touched: Touched, parts: dict[tuple[object, ...], tuple[Part, ...]]) -> Message:
         mine = tuple(self.parts(stream, touched, parts))
         shut, back = self.health(stream, touched, mine)
         mark = self.first_mark + touched.mark.mark if touched.mark is not None else None
         return Message(stream.proxy, mine, shut, back, mark)
 
     def parts(self, stream: Stream, touched: Touched,
-              known: dict[tuple[object, ...], Part]) -> Iterator[Part]:
-        """Classes that share a table and a level share a part."""
-        groups: dict[tuple[int | None, bool, Level | None], list[int]] = {}
+              known: dict[tuple[object, ...], tuple[Part, ...]]) -> Iterator[Part]:
+        """Classes that share a table share its lines, and those with one level a part that tells it."""
+        groups: dict[tuple[int | None, bool], dict[int, Level | None]] = {}
         for place in self.classes:
             table = stream.bound.get(place)
             whole = place in touched.assigned.get(stream.proxy, ()) or table in touched.cleared
             changed = any(place in touched.levels.get(t, ()) for t in (table, EVERY_TABLE) if t is not None)
             if whole or changed or (table is not None and table in touched.lines):
                 level = self.level(place, table) if whole or changed else None
-                groups.setdefault((table, whole, level), []).append(place)
-        for (table, whole, level), classes in groups.items():
-            key = table, whole, level, *classes
+                groups.setdefault((table, whole), {})[place] = level
+        for (table, whole), levels in groups.items():
+            key = table, whole, *levels.items()
             if key not in known:
-                lines = self.tables.get(table, {}) if table is not None else {}
-                if not whole and table is not None:
-                    lines = {s: lines.get(s, 0.0) for s in touched.lines.get(table, ())}
-                known[key] = Part(tuple(classes), whole, tuple(lines.items()), level)
-            if whole or known[key].lines or level is not None:
-                yield known[key]
+                known[key] = tuple(self.parts_of(table, whole, levels, touched))
+            yield from known[key]
+
+    def parts_of(self, table: int | None, whole: bool, levels: dict[int, Level | None],
+                 touched: Touched) -> Iterator[Part]:
+        """A table's lines for its classes; their levels with them if they are alike, else in parts that follow."""
+        lines = self.tables.get(table, {}) if table is not None else {}
+        if not whole and table is not None:
+            lines = {s: lines.get(s, 0.0) for s in touched.lines.get(table, ())}
+        alike = len(set(levels.values())) == 1
+        level = next(iter(levels.values())) if alike else None
+        if whole or lines or level is not None:
+            yield Part(tuple(levels), whole, tuple(lines.items()), level)
+        if not alike:
+            for one in dict.fromkeys(level for level in levels.values() if level is not None):
+                yield Part(tuple(place for place, level in levels.items() if level == one), False, (), one)
 
     def health(self, stream: Stream, touched: Touched,
                parts: tuple[Part, ...]) -> tuple[tuple[Server, ...], tuple[Server, ...]]:
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -23,7 +23,7 @@
 from stackwheel.wire.http import split_address
 from stackwheel.wire.lines import Encoder
 from stackwheel.wire.peer import Pace, Peer, Waiting
-from stackwheel.wire.probes import UNREACHABLE, probe
+from stackwheel.wire.probes import probe
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,7 +208,7 @@
         if address := self.roster.addresses.get(server):
             self.keep(ask(address))
         else:  # no list has told where it is
-            self.post(face.ProbeResult(server, UNREACHABLE, 0.0))
+            self.post(face.ProbeResult(server, face.Probed.UNREACHABLE, 0.0))
 
     def tell_peers(self, payload: bytes, peer: int | None) -> None:
         self.datagrams.send(payload, peer)
--- a/stackwheel/wire/probes.py
+++ b/stackwheel/wire/probes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from stackwheel import interface as face
-from stackwheel.interface import Server
+from stackwheel.interface import Probed, Server
 from stackwheel.settings import Names
 from stackwheel.state.clock import Clock
 from stackwheel.wire import timing
@@ -11,8 +11,6 @@
 from stackwheel.wire.lines import FieldError, read_load
 from stackwheel.wire.values import columns_in_order
 
-OK, ERROR, TURNED_AWAY, NO_ANSWER, UNREACHABLE, RESET = 1, 0, 2, 3, 4, 5  # as the simulator counts outcomes
-
 
 async def probe(server: Server, address: str, names: Names, clock: Clock) -> face.ProbeResult:
     began = clock.now()
@@ -23,13 +21,13 @@
     try:
         load = read_load(body.decode().strip(), "=") if names.load_on_probe else ()
     except (UnicodeDecodeError, FieldError):
-        return face.ProbeResult(server, ERROR, elapsed)
-    return face.ProbeResult(server, OK, elapsed, columns_in_order(load, names.columns))
+        return face.ProbeResult(server, Probed.ERROR, elapsed)
+    return face.ProbeResult(server, Probed.OK, elapsed, columns_in_order(load, names.columns))
 
 
-def outcome(failed: CallFailed) -> int:
+def outcome(failed: CallFailed) -> Probed:
     if failed.stage is Stage.STATUS:
-        return TURNED_AWAY if failed.status == 503 else ERROR
+        return Probed.TURNED_AWAY if failed.status == 503 else Probed.ERROR
     if failed.stage is Stage.DIAL:
-        return UNREACHABLE
-    return NO_ANSWER if failed.timed_out else RESET
+        return Probed.UNREACHABLE
+    return Probed.NO_ANSWER if failed.timed_out else Probed.RESET
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -189,3 +189,16 @@
                 assert held.open_lines(name) == {setup.ids.name(s): w for s, w in expected(setup.orders, stream, place)}
                 level = setup.orders.level(place, table)
                 assert held.levels.get(name) == (level and (level[0], int(level[1])))
+
+
+def test_classes_that_share_a_table_share_its_lines_whatever_their_levels() -> None:
+    """A line for three classes went out three times as soon as their levels differed."""
+    setup = Setup()
+    setup.join(0)
+    levels = [face.SetAdmission(7, (place,), 0.5 + place / 4, Retry.NEVER) for place in (0, 1)]
+    got = setup.take(face.SetWeight(7, ONE, 1.0), *levels, face.AssignTable(0, 7, (0, 1)))
+    assert got[0].parts == (Part((0, 1), True, ((ONE, 1.0),), None), Part((0,), False, (), (0.5, Retry.NEVER)),
+                            Part((1,), False, (), (0.75, Retry.NEVER)))
+    got = setup.take(face.SetWeight(7, TWO, 1.0), face.SetAdmission(7, (1,), 0.5, Retry.NEVER))
+    assert got[0].cost() == 2 and setup.held[0].lines == {name: {"s-0": 1.0, "s-1": 1.0} for name in CLASSES}
+    assert setup.held[0].levels["write"][0] == 0.5
