What a table lacks takes what the channel has left, and no more than a turn's lines at once

At fault: `send_group` counted additions as pressing, outside of the pace.

Changed: an addition waits as NEW, before other changes but behind all that presses; beyond the pace it goes only while the queue is under 0.05 of the backlog, and a turn's lines at most. A table of which over 0.8 is unsent has run dry and is still urgent.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -35,8 +35,8 @@
 BUSY, FULL, DELTA_MESSAGES = 0.25, 0.8, 0.6  # of the backlog: add to no queue over; nor beyond; of the cap
 FIRST_BY, FIRST_LEAST, GROW, AGAIN = 0.4, 4, 0.05, 0.1  # of the grace; lines; of the backlog; of a cycle
 CLOSE = 0.1  # of the drain grace: what comes sooner after a message to a proxy waits for the next
-HEADS, LACKING = 5.0, 0.1  # heads' worth of lines in a message; of a table not sent yet: it can't wait
-SLOWEST, LATE, MARKS = 0.2, 0.6, 1 << 16  # of its rate, if unheard; of a full queue's time: slowed; marks
+HEADS, LACKING, DRY = 5.0, 0.1, 0.8  # heads' worth of lines in a message; of a table unsent: first; at once
+SLOWEST, MARKS = 0.2, 1 << 16  # of its rate, if unheard; marks
 LATE_SPAN, SPAN_GAIN = 4.0, 0.05  # cycles of reports so late that probes are worth it; step to a new span
 PROBES, LOOKED, HOLDS = 0.06, 3.0, 2.0  # a request; cycles that a probe counts for; windows, a report
 SLOW_AIMS, SLOW_CALM, FULL_USE = 0.3, 1.7, 0.92  # half of the traffic as slow; of what is answered
@@ -44,7 +44,7 @@
 LEAST_LEVEL, ALL, NO_LIMIT = 0.05, 0.99, 1e6  # least share let in; what counts as all; no rate limit
 FURTHER_TRY = Retry.ONCE_IF_UNTRIED  # safe for any class; after any failure it doubled the work under strain
 PEERS_MOST, ASK_MOST = 128, 0.4  # messages of peers in a cycle; of the time to ask again in
-SLOT_TOKEN, LIST_TOKEN, NOW, COLD, SOON, LATER = 1 << 32, 2 << 32, 0, 1, 2, 3  # timers; how a line waits
+SLOT_TOKEN, LIST_TOKEN, NOW, COLD, SOON, NEW, LATER = 1 << 32, 2 << 32, *range(5)  # timers; how lines wait
 Key = tuple[int, int]  # zone and class: what a table is for
 Rates = dict[Server, float]
 Move = tuple[int, float, int, Server, float]  # how long it may wait; less the more; a table's place; weight
@@ -120,7 +120,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings, self.queued, self.at, self.marks = settings, 0.0, 0.0, 0
-        self.slowed, self.head = False, settings.overhead + 1.0  # with the mark
+        self.head = settings.overhead + 1.0  # with the mark
         self.pace = PACE * settings.channel_rate / 1000.0  # lines a millisecond for changes
         self.allowance = self.span = PACE_SPAN * settings.cycle * self.pace
         self.crowd = self.span / PACE_SPAN / (HEADS * self.head)  # of one group: else most lines are heads
@@ -132,10 +132,8 @@
         self.queued = max(0.0, self.queued - gone)
         self.allowance, self.at = min(self.span, self.allowance + (now - self.at) * self.pace), now
 
-    def acknowledge(self, mark: int, elapsed: float) -> None:  # messages leave in order
+    def acknowledge(self, mark: int) -> None:  # messages leave in order
         if mark in self.waiting:
-            full = 1000.0 * self.settings.backlog / self.settings.channel_rate
-            self.slowed = elapsed > 2 * self.settings.transit + LATE * full
             self.waiting = dict(list(self.waiting.items())[list(self.waiting).index(mark):])
             self.waiting[mark][0] -= self.waiting[mark][1]
             self.queued = min(self.queued, sum(left for left, _ in self.waiting.values()))
@@ -223,8 +221,8 @@
                 view.full = outcome in (face.Probed.TURNED_AWAY, face.Probed.NO_ANSWER)
                 view.looked_at = self.now if load or view.full else view.looked_at
                 self.take_load(view, load)
-            case face.Acknowledged(_, mark, elapsed):
-                self.outbox.acknowledge(mark, elapsed)
+            case face.Acknowledged(_, mark, _):
+                self.outbox.acknowledge(mark)
             case face.PeerMessage(sender, payload):
                 sent = {**self.peers.get(sender, (0.0, {}))[1], **peers.unpack(payload)}
                 self.peers[sender] = self.now, {s: rate for s, rate in sent.items() if s in self.servers}
@@ -541,8 +539,9 @@
         levels = [self.wanted_levels(table) for table in tables]
         news = sum(1 for table, wanted in zip(tables, levels, strict=True) for place, level in wanted.items()
                    if differs(level, table.levels.get(place)))
-        pressing = sum(1 for move in moves if move[0] < LATER)
-        spent = self.outbox.allowance <= 0 or (self.outbox.slowed and self.outbox.queued > 0)
+        pressing = sum(1 for move in moves if move[0] < NEW)
+        lacks = any(move[0] == NEW for move in moves)  # it takes what of the channel nobody else does
+        spent = self.outbox.allowance <= 0 and not (lacks and self.outbox.room(self.lines, GROW) > 0)
         usual = 0.0 if strict or spent else max(head, self.outbox.span / each - head)
         full = self.outbox.room(self.lines, FULL) / each - head - news
         most = int(bounded(max(pressing, usual), 0, max(0, full)))
@@ -554,7 +553,7 @@
         fits = full > 0 and not close and self.outbox.room(self.lines, BUSY) > 0 and all(
             self.outbox.may_write(u, share) for u in users if u not in self.lines)
         chosen = moves[:most] if fits else []
-        self.held |= sum(1 for move in chosen if move[0] < LATER) < pressing
+        self.held |= lacks or sum(1 for move in chosen if move[0] < NEW) < pressing
         if chosen or (news and usual and fits):
             for place, table in enumerate(tables):
                 self.write(table, users, {s: w for _, _, at, s, w in chosen if at == place}, levels[place])
@@ -564,13 +563,14 @@
     def moves(self, place: int, table: Table) -> list[Move]:
         """Lines that moved by over a tenth: the unsafe, what lacks, then the largest for their servers."""
         scale, ready, found = table.scale(), {v.entry.server: v for v in self.ready()}, []
-        lacking = sum(x for s, x in table.shares.items() if s not in table.sent) > LACKING
+        lacking = sum(x for s, x in table.shares.items() if s not in table.sent)
+        first = SOON if lacking > DRY else NEW if lacking > LACKING else LATER
         for server in dict.fromkeys([*table.shares, *table.sent]):
             new, old = scale * table.shares.get(server, 0.0), table.sent.get(server, 0.0)
             sound = server in ready and self.sound(ready[server])
             if abs(new - old) > WORTH_SENDING * max(new, old) or (old > 0) != (new > 0):
                 unsafe = NOW if server not in ready else COLD if self.warmth(ready[server]) < 1.0 else SOON
-                wait = SOON if lacking and old == 0 else LATER if sound or old <= OVERWEIGHT * new else unsafe
+                wait = first if old == 0 else LATER if sound or old <= OVERWEIGHT * new else unsafe
                 able = ready[server].capacity * self.warmth(ready[server]) if server in ready else 0.0
                 found.append((wait, -abs(new - old) / (able or 1.0), place, server, new))
         return found
