Share the limit of cold servers by proxies accounted for; levels go out at once

A new level reached a group only in a turn within the pace: of 8 groups at n1 one message a second went out after 20 s ({'A+': 2288, 'heads': 260, 'msgs': 1}), so shedding began and ended up to 8 s after it was decided. And no spread used a cold server beyond 0.7 of what it surely has by then, though the limit that the rule leaves is 0.88.

At fault: `spread` (the unheard count as their average, though their proxies are heard of elsewhere), `send_group` (levels only with a pace left), `room` (TARGET_USE for cold servers too). Changed: a datagram begins with the sender's number of proxies; our part is scaled by the proxies accounted for out of all in the settings. What a table lacks may use the channel up to half of the share that the queue may have, in place of a fifth.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -177,7 +177,7 @@
         self.waiting: dict[int, None] = {}  # proxies that have no tables of ours
         self.groups: dict[int, dict[int, list[Group]]] = {}  # by zone and lines of a short table; 0: whole
         self.goals: dict[Key, Rates] = {}  # of the last spread
-        self.peers: dict[int, tuple[float, Rates]] = {}  # when heard, and what they send where
+        self.peers: dict[int, tuple[float, int, Rates]] = {}  # when heard, proxies, and what they send where
         self.shed = self.level = self.calm = self.counted = 0.0
         self.failures, self.part, self.again, self.span = 0, 1.0, 0.0, 0.0  # calls; our part; next try
         self.flow: dict[Key, list[float]] = {}  # requests told of since the last count; a second, by counts
@@ -223,9 +223,9 @@
                 self.take_load(view, load)
             case face.Acknowledged(_, mark, _):
                 self.outbox.acknowledge(mark)
-            case face.PeerMessage(sender, payload):
-                sent = {**self.peers.get(sender, (0.0, {}))[1], **peers.unpack(payload)}
-                self.peers[sender] = self.now, {s: rate for s, rate in sent.items() if s in self.servers}
+            case face.PeerMessage(sender, payload) if (found := peers.unpack(payload)) is not None:
+                sent = {**self.peers.get(sender, (0.0, 0, {}))[2], **found[1]} if found[0] else {}
+                self.peers[sender] = self.now, found[0], {s: x for s, x in sent.items() if s in self.servers}
             case face.TimerFired(token) if token == LIST_TOKEN:
                 self.actions.append(face.Subscribe())
         return event == face.TimerFired(SLOT_TOKEN + self.slot)
@@ -380,14 +380,13 @@
             seen = self.level * view.size * bounded(usual / max(1e-3, view.answer or usual), 0.5, 1.5)
         view.capacity = blend(view.capacity, seen, CAPACITY_GAIN)
 
-    def fresh_peers(self) -> list[Rates]:
-        since = self.now - PEER_LIFE * self.settings.cycle
-        return [rates for at, rates in self.peers.values() if at > since]
+    def fresh_peers(self) -> list[tuple[float, int, Rates]]:
+        return [told for told in self.peers.values() if told[0] > self.now - PEER_LIFE * self.settings.cycle]
 
     def others_rate(self, view: ServerView) -> float:
         """What other planners' proxies send there: from peers, else from the server's own load report."""
         fresh = self.fresh_peers()
-        heard = sum(rates.get(view.entry.server, 0.0) for rates in fresh)
+        heard = sum(rates.get(view.entry.server, 0.0) for _, _, rates in fresh)
         if len(fresh) >= self.settings.planners - 1:
             return heard
         total = view.rate * self.settings.planners
@@ -396,7 +395,7 @@
         return max(heard, total - view.rate)
 
     def tell_peers(self) -> None:  # what we send to each server, none left out
-        told = peers.pack({s: v.rate if self.proxies else 0.0 for s, v in self.servers.items()})
+        told = peers.pack(len(self.proxies), {s: v.rate for s, v in self.servers.items()})
         others = self.settings.planners - 1 if self.settings.peers_allowed else 0
         if 0 < others * len(told) <= PEERS_MOST:  # what each would have to read
             self.actions += [face.TellPeers(payload) for payload in told]
@@ -429,9 +428,10 @@
 
     def spread(self) -> dict[Key, Rates]:
         """Each zone's demand per class over servers, as requests a second: the design's mechanism."""
-        heard, own = self.fresh_peers(), max(1e-3, sum(self.demand()))  # the unheard count as their average
-        part = own / (own + sum(sum(rates.values()) for rates in heard))
-        self.part = part * (1 + len(heard)) / max(self.settings.planners, 1 + len(heard))
+        heard, own = self.fresh_peers(), max(1e-3, sum(self.demand()))
+        part = own / (own + sum(sum(rates.values()) for _, _, rates in heard))
+        joined = len(self.proxies) + sum(proxies for _, proxies, _ in heard)
+        self.part = part * min(1.0, joined / self.settings.proxies)  # the unheard count as their average
         present = {s: v.capacity * self.warmth(v) for s, v in self.servers.items()}
         order = sorted(self.places, key=lambda p: (len(self.open_to(p)), p))  # least choice first
         keys = [(zone, place) for place in order for zone in sorted(self.groups)]
@@ -455,7 +455,7 @@
     def room(self, view: ServerView, present: float, use: float) -> float:
         """What we may send there before it is used beyond `use`; of a cold one's lower limit our part."""
         if self.warmth(view) < 1.0:
-            return self.part * min(use, TARGET_USE, COLD_USE * self.settings.fall_multiple) * present
+            return self.part * min(use, COLD_USE * self.settings.fall_multiple) * present
         return max(LEAST_ROOM * present, use * present - self.others_rate(view))
 
     def attraction(self, zone: int, place: int) -> Rates:
@@ -541,7 +541,7 @@
                    if differs(level, table.levels.get(place)))
         pressing = sum(1 for move in moves if move[0] < NEW)
         lacks = any(move[0] == NEW for move in moves)  # it takes what of the channel nobody else does
-        spent = self.outbox.allowance <= 0 and not (lacks and self.outbox.room(self.lines, GROW) > 0)
+        spent = self.outbox.allowance <= 0 and not (lacks and self.outbox.room(self.lines, BUSY / 2) > 0)
         usual = 0.0 if strict or spent else max(head, self.outbox.span / each - head)
         full = self.outbox.room(self.lines, FULL) / each - head - news
         most = int(bounded(max(pressing, usual), 0, max(0, full)))
@@ -553,8 +553,8 @@
         fits = full > 0 and not close and self.outbox.room(self.lines, BUSY) > 0 and all(
             self.outbox.may_write(u, share) for u in users if u not in self.lines)
         chosen = moves[:most] if fits else []
-        self.held |= lacks or sum(1 for move in chosen if move[0] < NEW) < pressing
-        if chosen or (news and usual and fits):
+        self.held |= lacks or (news > 0 and not fits) or sum(1 for move in chosen if move[0] < NEW) < pressing
+        if chosen or (news and fits and not strict):
             for place, table in enumerate(tables):
                 self.write(table, users, {s: w for _, _, at, s, w in chosen if at == place}, levels[place])
             self.outbox.allowance -= each * (head + len(chosen)) if usual else 0.0
