Whole tables of both kinds may stand side by side in a zone

Cause: whether classes share a table hangs on how many servers are ready, so a zone's second group of whole tables could have another number of them than its first; move_groups zipped them. Now each whole table is moved by its own classes; a test makes the fleet grow between two groups.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -494,13 +494,13 @@
 
     def move_groups(self, size: int, groups: list[Group], ready: list[ServerView]) -> None:
         """Short tables together hold what is most wanted of a zone, and each of them some that are sound."""
-        for tables in zip(*(group.tables for group in groups), strict=True):
+        every = [g.tables for g in groups]
+        for tables in zip(*every, strict=True) if size else [[t] for tables in every for t in tables]:
             goals = [self.goals[tables[0].zone, place] for place in tables[0].places]
             rates = {s: sum(goal.get(s, 0.0) for goal in goals) for s in (v.entry.server for v in ready)}
             wanted = self.as_shares({s: r for s, r in rates.items() if r > 0 or (not size and s in goals[0])})
             if not size:
-                for table in tables:
-                    self.move_table(table, wanted, ready)
+                self.move_table(tables[0], wanted, ready)
                 continue
             missing = wanted.keys() - {s for table in tables for s in table.members}
             fits = 2 * size * len(groups) - sum(len(table.members) for table in tables)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -205,3 +205,16 @@
         desk.send(face.PeerMessage(1, peers.pack(others, {many(0): 0.0})[0]), wait=10.0)
         desk.send(*reports(desk), wait=1000.0)
         assert abs(desk.planner.part - part) < 0.01
+
+
+def test_tables_of_both_kinds_stand_side_by_side_when_the_fleet_grows() -> None:
+    """The zone's first table was a class's own, its second shared: the next slot failed on their number (austin-later big-1)."""
+    desk = Desk(replace(SETTINGS, zones=1, channel_rate=900.0, backlog=4000.0, proxies=60), servers=[server(0)], proxies=())
+    desk.zones = dict.fromkeys(range(60), 0)
+    desk.send(*(face.ProxyJoined(p, 0, 2.0, False) for p in range(30)), wait=10.0)
+    desk.listed(*(server(n) for n in range(1, 40)))
+    desk.send(*(face.ProxyJoined(p, 0, 2.0, False) for p in range(30, 60)), wait=10.0)
+    for _ in range(40):
+        desk.send(*reports(desk), wait=1000.0)
+    assert {len(group.tables) for group in desk.planner.groups[0][0]} == {1, 2}
+    assert all(held for held in desk.bound.values())
