--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -494,8 +494,8 @@
 
     def move_groups(self, size: int, groups: list[Group], ready: list[ServerView]) -> None:
         """Short tables together hold what is most wanted of a zone, and each of them some that are sound."""
-        every = [g.tables for g in groups]
-        for tables in zip(*every, strict=True) if size else [[t] for tables in every for t in tables]:
+        rows = [g.tables for g in groups]
+        for tables in zip(*rows, strict=True) if size else [[table] for row in rows for table in row]:
             goals = [self.goals[tables[0].zone, place] for place in tables[0].places]
             rates = {s: sum(goal.get(s, 0.0) for goal in goals) for s in (v.entry.server for v in ready)}
             wanted = self.as_shares({s: r for s, r in rates.items() if r > 0 or (not size and s in goals[0])})
@@ -561,7 +561,7 @@
             group.written = self.now if chosen else group.written
 
     def moves(self, place: int, table: Table) -> list[Move]:
-        """Lines that moved by over a tenth: the unsafe, what lacks, then the largest for their servers."""
+        """Lines that moved by over a tenth: the unsafe, what lacks, then the largest."""
         scale, ready, found = table.scale(), {v.entry.server: v for v in self.ready()}, []
         lacking = sum(x for s, x in table.shares.items() if s not in table.sent)
         first = SOON if lacking > DRY else NEW if lacking > LACKING else LATER
@@ -571,8 +571,7 @@
             if abs(new - old) > WORTH_SENDING * max(new, old) or (old > 0) != (new > 0):
                 unsafe = NOW if server not in ready else COLD if self.warmth(ready[server]) < 1.0 else SOON
                 wait = first if old == 0 else LATER if sound or old <= OVERWEIGHT * new else unsafe
-                able = ready[server].capacity * self.warmth(ready[server]) if server in ready else 0.0
-                found.append((wait, -abs(new - old) / (able or 1.0), place, server, new))
+                found.append((wait, -abs(new - old), place, server, new))
         return found
 
     def write(self, table: Table, users: list[int], changes: Rates, levels: dict[int, face.Level]) -> None:
