A probe that breaks after a full server's no longer stops the module

Found by reading the change again: `take` noted a server as looked at when it turned a probe away, and the next probe that broke took `full` back while the look still counted, so `set_shedding` read a load that nobody had told: KeyError, and the policy began anew. It needs a server without any load report yet, as a cold one is. Now only a probe that tells something changes what is kept, and a load that lacks the figure counts as none.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -217,10 +217,10 @@
                 for told, rate, due in zip(self.told(gone.zone), gone.demand, gone.due, strict=True):
                     told[1] = max(0.0, told[1] - rate * (not due))
             case face.ProbeResult(server, outcome, _, load) if server in self.servers:
-                view = self.servers[server]
-                view.full = outcome in (face.Probed.TURNED_AWAY, face.Probed.NO_ANSWER)
-                view.looked_at = self.now if load or view.full else view.looked_at
-                self.take_load(view, load)
+                view, full = self.servers[server], outcome in (face.Probed.TURNED_AWAY, face.Probed.NO_ANSWER)
+                if load or full:
+                    view.full, view.looked_at = full, self.now
+                    self.take_load(view, load)
             case face.Acknowledged(_, mark, _):
                 self.outbox.acknowledge(mark)
             case face.PeerMessage(sender, payload) if (found := peers.unpack(payload)) is not None:
@@ -669,7 +669,7 @@
         middle = median([answer for _, answer, _, _ in met], [tries for _, _, tries, _ in met])
         seen = [v for v in self.ready() if v.looked_at > self.now - LOOKED * self.settings.cycle]
         if seen:  # what waits there now, in time at its capacity
-            middle = median([math.inf if v.full else v.load["outstanding"] * 1000.0
+            middle = median([math.inf if v.full else v.load.get("outstanding", 0.0) * 1000.0
                              / (v.capacity * self.warmth(v)) for v in seen])
         answered = sum(rate for _, _, _, rate in met)  # by the newest reports: an average lags a jam's end
         demand = max(1e-3, sum(self.demand()))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -190,6 +190,13 @@
     assert desk.planner.shed > 0.0
 
 
+def test_a_full_server_that_then_breaks_a_probe_has_still_no_load_to_reckon_with() -> None:
+    desk = Desk(servers=[server(n) for n in range(4)], load_columns=("outstanding",))
+    desk.send(face.ProbeResult(many(0), face.Probed.TURNED_AWAY, 5.0), face.ProbeResult(many(0), face.Probed.RESET, 5.0))
+    bare = [face.ServerReport(0, many(n), 20, 0, 100.0, 1000.0) for n in range(4)]
+    assert only(desk.send(*bare, wait=1000.0), face.SetTimer)  # the slot ran to its end
+
+
 def test_a_planner_without_proxies_tells_the_others_that_it_sends_nothing() -> None:
     """Two planners that had restarted said nothing, and two fifths of what cold servers could take lay idle."""
     desk = Desk(servers=[server(n) for n in range(4)], proxies=(), peers_allowed=True, planners=5)
