--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -553,7 +553,7 @@
         fits = full > 0 and not close and self.outbox.room(self.lines, BUSY) > 0 and all(
             self.outbox.may_write(u, share) for u in users if u not in self.lines)
         chosen = moves[:most] if fits else []
-        self.held |= lacks or sum(1 for move in chosen if move[0] < NEW) < pressing
+        self.held |= lacks or (news > 0 and not fits) or sum(1 for move in chosen if move[0] < NEW) < pressing
         if chosen or (news and fits and not strict):
             for place, table in enumerate(tables):
                 self.write(table, users, {s: w for _, _, at, s, w in chosen if at == place}, levels[place])
