No older list, former process or former policy is believed in place of the present one

- A whole list of an older generation was believed whole: what drained or had left was ready again.
One that revives such a process now counts like changes; if nothing newer comes in 6 s, by when all that discovery tells counts as told, it has begun anew and holds.
One that revives nothing is believed at once, as its departures bind.
Of doubled entries the later process or the last word counts.
- An entry that can't be read failed the whole list, one in an unknown zone counted as a departure.
Now it is named in the log and left out, and the server it may mean stays as it was; in `known` it is a bad configuration, as before.
- A fetch during a move ended with no answer, or switched the source while two watches went on.
It asks whose list is in force, and again where that changes; one that the watch has overtaken is no whole list.
- A watch that drips without ending a line lived for ever: a line has 6 s.
One that beats but tells nothing is renewed beside the old one, no sooner than after 6 s, all planners together one call in 2 s at most.
- Calls that the actor repeats itself came each second, in step: they back off with jitter drawn from the seed.
- Timers that lay in the mailbox, probes on their way and list failures of a policy that failed reached the next one.
A probe counts for the process and address it was meant for, a report not for a process younger than its span.
- A superseded connection wrote on and spent its proxy's message cap; one that joined, was superseded and joined again within a batch was closed as a stranger; a write that failed by a defect left a stream that looked alive.
- A call given up in the turn in which its connection came kept the descriptor; a port over 65535 ended a probe unseen; probes asked for in one turn were counted only in the next; a probe's answer could hold 16 MiB.

--- a/stackwheel/files/ledger.py
+++ b/stackwheel/files/ledger.py
@@ -35,6 +35,9 @@
     def superseded(self) -> None:
         """Another way of speaking carries the forwarder now; its answers are heard no more until that ends."""
 
+    def carries(self) -> None:
+        """Files are read by who wants to: there is nothing to take up again."""
+
 
 @dataclass(slots=True)
 class Forwarder:
--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -115,7 +115,7 @@
         self.roster = Roster(config.names.zones, config.names.kinds, Ids())
         self.roster.apply(config.known)
         self.links = Links(config.addresses, config.settings, config.names, self.roster, self.clock,
-                           around.listen_at)
+                           around.listen_at, config.seed)
         self.extras = around.extras(self)
         outside = Outsides(self.links, self.extras) if self.extras else self.links
         self.module = Module(on_sockets(config.settings), config.names.tick, config.seed, self.clock,
--- a/stackwheel/service/config.py
+++ b/stackwheel/service/config.py
@@ -84,7 +84,11 @@
         raise ValueError(f"{len(addresses.peers)} peers for {built.planners} instances")
     known = found.get("known")
     return Config(str(found.get("name", "planner")), addresses, read_seed(found.get("seed", "0")),
-                  built, names, Listing(0, True, ()) if known is None else read_listing(known), absent)
+                  built, names, Listing(0, True, ()) if known is None else read_listing(known, refuse), absent)
+
+
+def refuse(what: str) -> None:
+    raise ValueError(f"known: {what}")
 
 
 def address(found: dict[str, object], key: str, default: str | None = None) -> str:
--- a/stackwheel/service/reload.py
+++ b/stackwheel/service/reload.py
@@ -11,6 +11,7 @@
 from stackwheel.service.config import Config, ConfigError, load_config
 from stackwheel.wire.links import Addresses
 
+LOOKS, LOOK_AGAIN = 4, 0.5  # a file that can't be used is looked at so often, so many s apart: it may be half written
 AT_START = ("listen", "peer_listen")  # of the addresses: what stands open
 
 
@@ -29,13 +30,31 @@
         while True:
             await self.asked.wait()
             self.asked.clear()
-            self.reload()
+            try:
+                await self.follow()
+            except Exception as error:  # the next signal finds somebody who hears it
+                logger.opt(exception=True).error("configuration not reloaded, the old one holds: fault {!r}", error)
 
-    def reload(self) -> None:
+    async def follow(self) -> None:
+        """Read it, and where it can't be used look again for a while, as its writer may not have ended yet."""
+        refused = self.reload()
+        for _ in range(LOOKS):
+            if refused is None:
+                return
+            try:
+                async with asyncio.timeout(LOOK_AGAIN):
+                    await self.asked.wait()
+                return
+            except TimeoutError:
+                refused = self.reload(refused)
+
+    def reload(self, refused: ConfigError | None = None) -> ConfigError | None:
+        """Why the file can't be used, if so; logged, unless it was refused for the same."""
         found = self.load()
         if isinstance(found, ConfigError):
-            logger.error("configuration not reloaded, the old one holds: {}", found.reason)
-            return
+            if found != refused:
+                logger.error("configuration not reloaded, the old one holds: {}", found.reason)
+            return found
         if held := needs_restart(self.config, found):
             logger.warning("changed, but in force only after a restart: {}", ", ".join(held))
         old = self.config.addresses
@@ -44,6 +63,7 @@
         self.apply(new)
         changed = differing([field.name for field in fields(Addresses)], old, new)
         logger.info("configuration reloaded; changed: {}", ", ".join(changed) or "nothing")
+        return None
 
 
 def differing(keys: Iterable[str], old: object, new: object) -> list[str]:
--- a/stackwheel/state/module.py
+++ b/stackwheel/state/module.py
@@ -45,10 +45,33 @@
     """A call for the list failed, or the watch ended."""
 
 
-Report: TypeAlias = (
-    face.ServerReport | face.DemandReport | face.PeerMessage | face.ProbeResult | face.TimerFired
-)
-Item: TypeAlias = Stream | Ended | Said | Listing | ListFailed | Report
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """Whom a probe was meant for: by which policy, and which process at which address."""
+
+    life: int
+    started: float
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """How a probe ended. It counts only for the policy that asked and the process that was meant."""
+
+    asked: Asked
+    result: face.ProbeResult
+
+
+@dataclass(frozen=True, slots=True)
+class Elapsed:
+    """A timer of a policy's has fired; no later policy hears of it."""
+
+    life: int
+    token: int
+
+
+Report: TypeAlias = face.ServerReport | face.DemandReport | face.PeerMessage
+Item: TypeAlias = Stream | Ended | Said | Listing | ListFailed | Probed | Elapsed | Report
 
 
 class Outside(Protocol):
@@ -60,7 +83,7 @@
 
     def fetch_list(self) -> None: ...
 
-    def probe(self, server: face.Server) -> None: ...
+    def probe(self, server: face.Server, asked: Asked) -> None: ...
 
     def tell_peers(self, payload: bytes, peer: int | None) -> None: ...
 
@@ -102,6 +125,9 @@
         items, self.mailbox = self.mailbox, []
         self.filled.clear()
         events = [event for item in items for event in self.events(item)]
+        if (listing := self.roster.settled(self.clock.now())) is not None:
+            logger.warning("list {} holds: nothing newer has come", listing.generation)
+            events.append(self.roster.apply(listing))
         self.decide([*events, *self.streams.fall_silent(self.clock.now())])
         for server in self.roster.outdated():
             if not self.orders.names(server):
@@ -132,15 +158,26 @@
                 news = self.streams.heard(proxy, line)
                 return [] if news is None else [*news, *self.current(event)]
             case Listing():
-                return [self.roster.apply(item)]
+                return [self.roster.apply(item, self.clock.now())]
             case ListFailed():
                 return [self.roster.failed()]
+            case Probed(asked, result):
+                return [result] if asked == self.asked(result.server) else []
+            case Elapsed(life, token):
+                return [face.TimerFired(token)] if life == self.life else []
+            case face.ServerReport():  # its span may reach back to a former process under that id
+                return [] if self.roster.past(item.server, self.clock.now() - item.window) else [item]
             case face.DemandReport(proxy):
                 return [item] if proxy in self.streams.by_proxy else []
-            case face.ServerReport() | face.PeerMessage() | face.ProbeResult() | face.TimerFired():
+            case face.PeerMessage():
                 return [item]
         return []
 
+    def asked(self, server: face.Server) -> Asked:
+        """Whom a probe of that server is meant for now."""
+        entry = self.roster.entries.get(server)
+        return Asked(self.life, entry.started if entry is not None else -1.0, self.roster.addresses.get(server, ""))
+
     def current(self, event: face.Acknowledged | face.DemandReport | None) -> Iterable[Event]:
         """What a proxy said, unless it answers a mark of an earlier policy, or what can't be."""
         if not isinstance(event, face.Acknowledged):
@@ -176,7 +213,7 @@
                 case face.FetchList():
                     self.outside.fetch_list()
                 case face.Probe(server):
-                    self.outside.probe(server)
+                    self.outside.probe(server, self.asked(server))
                 case face.TellPeers(payload, peer):
                     self.outside.tell_peers(payload, peer)
                 case face.Log(text):
@@ -186,9 +223,11 @@
         return messages
 
     def set_timer(self, delay: float, token: int) -> None:
+        life = self.life
+
         def fire() -> None:
             self.timers.discard(handle)
-            self.post(face.TimerFired(token))
+            self.post(Elapsed(life, token))
 
         handle = asyncio.get_running_loop().call_later(max(0.0, delay) / 1000.0, fire)
         self.timers.add(handle)
@@ -205,5 +244,7 @@
         asyncio.get_running_loop().call_later(wait / 1000.0, self.begin)
 
     def begin(self) -> None:
+        """The new policy asks for the list itself: that a call of the former one's failed is not its news."""
+        self.mailbox = [item for item in self.mailbox if not isinstance(item, ListFailed)]
         self.planner = self.make(self.settings, self.seed + self.life)
         self.decide([self.roster.cached(), *self.streams.start_over()])
--- a/stackwheel/state/streams.py
+++ b/stackwheel/state/streams.py
@@ -22,6 +22,9 @@
     def superseded(self) -> None:
         """Another connection carries the stream from now on."""
 
+    def carries(self) -> None:
+        """This one carries it from now on, whatever was said of it before."""
+
 
 @dataclass(slots=True)
 class Stream:
@@ -64,6 +67,7 @@
         for replaced in (old, quiet):
             if replaced is not None and replaced.line is not stream.line:
                 replaced.line.superseded()
+        stream.line.carries()  # it may have joined, been superseded and joined again within one batch
         self.by_proxy[stream.proxy] = stream
         if old is not None:
             yield face.ProxyLeft(old.proxy)
--- a/stackwheel/trials/defects.py
+++ b/stackwheel/trials/defects.py
@@ -163,12 +163,12 @@
 
 def whole_list_as_changes() -> Sequence[Patch]:
     honest = Roster.apply
-    return [(Roster, "apply", lambda self, listing: honest(self, replace(listing, whole=False)))]
+    return [(Roster, "apply", lambda self, listing, now=0.0: honest(self, replace(listing, whole=False), now))]
 
 
 def older_believed() -> Sequence[Patch]:
     """Generations are not compared: an older state brings back what drains."""
-    def newer(self: Roster, listing: Listing) -> Listing:
+    def newer(self: Roster, listing: Listing, now: float) -> Listing:
         return listing
 
     return [(Roster, "newer", newer)]
--- a/stackwheel/wire/discovery.py
+++ b/stackwheel/wire/discovery.py
@@ -5,43 +5,61 @@
 import asyncio
 import json
 import math
+import re
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from random import Random
 
 from loguru import logger
 
 from stackwheel.interface import Availability
 from stackwheel.state.module import ListFailed
-from stackwheel.state.roster import Instance, Listing
+from stackwheel.state.roster import Instance, Listing, merge
 from stackwheel.wire import timing
+from stackwheel.wire.backoff import Backoff
 from stackwheel.wire.http import Call, CallFailed, Stage, get
 
 PATH = "/registry/instances"
+UNWRITABLE = re.compile(r"[\s,\x00-\x1f\x7f]")  # in a line of an order it would end the name
 LIFECYCLES = {"in_service": Availability.READY, "terminating": Availability.DRAINING,
               "terminated": Availability.GONE}
 
 
 def parse_listing(data: bytes) -> Listing | CallFailed:
     try:
-        return read_listing(json.loads(data))
+        return read_listing(json.loads(data), lambda what: logger.warning("{}; left out", what))
     except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
         return CallFailed(Stage.CONTENT, f"{type(error).__name__}: {error}"[:200])
 
 
-def read_listing(found: object) -> Listing:
-    """The typed list of a JSON object; ValueError and its like where it is none."""
+def read_listing(found: object, report: Callable[[str], None]) -> Listing:
+    """The typed list of a JSON object; ValueError and its like where it is none.
+
+    An entry that can't be read is reported and left out, its neighbours count: no list fails for one of them.
+    """
     if not isinstance(found, dict) or not isinstance(found["instances"], list):
         raise ValueError("no list of instances")
     generation, whole = found["generation"], found["reset"]
-    if not isinstance(generation, int) or generation < 0 or not isinstance(whole, bool):
+    if type(generation) is not int or generation < 0 or not isinstance(whole, bool):
         raise ValueError("generation or reset is wrong")
-    return Listing(generation, whole, tuple(read_instance(item) for item in found["instances"]))
+    read: list[Instance] = []
+    unreadable: set[str] = set()
+    for place, item in enumerate(found["instances"]):
+        try:
+            read.append(read_instance(item))
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            name = item.get("instanceId") if isinstance(item, dict) else None
+            unreadable.add(name if isinstance(name, str) else "")
+            report(f"list {generation}: entry {place} ({str(name)[:40]!r}): {type(error).__name__}: {error}"[:200])
+    return Listing(generation, whole, tuple(read), frozenset(unreadable))
 
 
 def read_instance(item: dict[str, object]) -> Instance:
     name, address, zone = item["instanceId"], item["hostPort"], item["zone"]
-    if not (isinstance(name, str) and name and isinstance(address, str) and isinstance(zone, str)):
-        raise ValueError(f"instance {str(name)[:40]!r} has no name, address or zone")
+    if not (isinstance(name, str) and isinstance(address, str) and isinstance(zone, str)):
+        raise ValueError("no name, address or zone")
+    if not name or UNWRITABLE.search(name):
+        raise ValueError("a name that no order can carry")
     return Instance(name, address, zone, str(item.get("machineType", "")), int(figure(item, "cell", 0.0)),
                     LIFECYCLES[str(item["lifecycle"])], figure(item, "weight", 1.0),
                     figure(item, "startedAtMs", 0.0))
@@ -59,12 +77,6 @@
     return body if isinstance(body, CallFailed) else parse_listing(body)
 
 
-def merge(held: Listing, changes: Listing) -> Listing:
-    """A whole list brought forward by what changed since."""
-    found = {instance.name: instance for instance in (*held.instances, *changes.instances)}
-    return Listing(changes.generation, True, tuple(found.values()))
-
-
 @dataclass(frozen=True, slots=True)
 class Move:
     """Discovery is at another address from now on."""
@@ -76,13 +88,18 @@
     """Its mailbox holds what the policy asks for, and moves; each call ends in one item for the module.
 
     After a move the old address is watched until the new one has answered. That answer is taken for the
-    whole list, as what the old one told, and in which numbers, says nothing of the new one.
+    whole list, as what the old one told, and in which numbers, says nothing of the new one. A watch that
+    tells no change for long is renewed in the same way, as its updates may have stopped while it beats.
     """
 
     def __init__(self, address: str, generation: int, follow_always: bool,
-                 post: Callable[[Listing | ListFailed], None]) -> None:
+                 post: Callable[[Listing | ListFailed], None], random: Random | None = None,
+                 ask_within: float = math.inf, renewal: float = math.inf) -> None:
         self.address, self.generation, self.post = address, generation, post
         self.follow_always = follow_always  # where changes come unasked, so does the watch
+        self.random = random or Random(0)
+        self.backoff = Backoff(timing.DIAL, timing.AGAIN_MOST * ask_within, self.random)
+        self.renewal = renewal  # ms without a change after which a watch is renewed
         self.source = address  # whose list is in force
         self.mailbox: asyncio.Queue[str | Move] = asyncio.Queue()
         self.watching: asyncio.Task[None] | None = None
@@ -98,8 +115,10 @@
                     self.move(address)
                 case "again" if self.watching is not None and self.source != self.address:
                     self.successor = self.successor or asyncio.create_task(self.watch(self.address))
+                case "renew" if self.watching is not None and self.successor is None:
+                    self.successor = asyncio.create_task(self.watch(self.address))
                 case "fetch":
-                    task = asyncio.create_task(self.fetch(self.address))
+                    task = asyncio.create_task(self.fetch())
                     self.fetching.add(task)
                     task.add_done_callback(self.fetching.discard)
                 case "watch" if self.successor is None:
@@ -126,13 +145,28 @@
                 task.cancel()
         self.watching = self.successor = None
 
-    async def fetch(self, address: str) -> None:
-        found = await whole_list(address)
-        if address == self.address:  # else it is of a discovery that has moved meanwhile
-            if isinstance(found, CallFailed):
-                self.failed(found, address)
-            else:
-                self.settle(found, address)
+    def asked(self) -> str:
+        """Whose whole list counts: never that of an address whose watch is still to take over."""
+        return self.source if self.watching is not None else self.address
+
+    async def fetch(self) -> None:
+        """The whole list. Where discovery moves meanwhile it is asked for again, so that an answer always comes."""
+        found: Listing | CallFailed | None = None
+        while found is None:
+            address = self.asked()
+            try:
+                found = await whole_list(address)
+            except Exception as error:
+                logger.exception("call of {} failed: {!r}", address, error)
+                found = CallFailed(Stage.BODY, repr(error))
+            if address != self.asked():
+                found = None
+        if isinstance(found, CallFailed):
+            self.failed(found, address)
+            return
+        if self.watching is not None and found.generation < self.generation:  # the watch has overtaken it
+            found = replace(found, whole=False)
+        self.settle(found, address)
 
     async def watch(self, address: str) -> None:
         """Follow until it fails. Every end is a failure: a watch lasts until its connection ends."""
@@ -141,12 +175,20 @@
         try:
             failed = await call.open(timing.DIAL, timing.ANSWER)
             lists = self.lines(call) if address == self.source else self.whole(call, address)
+            loop = asyncio.get_running_loop()
+            renew_at, wait = math.inf, self.renewal
             while failed is None:
                 found = await anext(lists)
                 if isinstance(found, CallFailed):
                     failed = found
                 elif found is not None:
                     self.settle(found, address)
+                    wait = self.renewal
+                    renew_at = loop.time() + wait / 1000.0 * (0.5 + self.random.random())
+                elif loop.time() >= renew_at:
+                    wait *= 2  # this one goes on where the next fails, and is renewed ever more seldom
+                    renew_at = loop.time() + wait / 1000.0 * (0.5 + self.random.random())
+                    self.mailbox.put_nowait("renew")
         except Exception as error:
             logger.exception("watch on {} failed: {!r}", address, error)
             failed = CallFailed(Stage.BODY, repr(error))
@@ -158,15 +200,17 @@
         """A watch that another takes the place of is no loss; else the module hears of it."""
         if self.successor is asyncio.current_task():
             self.successor = None
-        else:
+        elif self.watching is asyncio.current_task():
             self.watching = None
+        else:
+            return  # it was let go
         if self.watching is None and self.successor is None:
             self.failed(failed, address)
             return
         logger.info("discovery {} ended at {}: {}; another watch goes on", address, failed.stage.name,
                     failed.reason)
-        if self.successor is None:
-            asyncio.get_running_loop().call_later(timing.DIAL / 1000.0, self.mailbox.put_nowait, "again")
+        if self.successor is None and self.source != self.address:
+            asyncio.get_running_loop().call_later(self.backoff.next() / 1000.0, self.mailbox.put_nowait, "again")
 
     async def whole(self, call: Call, address: str) -> AsyncIterator[Listing | CallFailed | None]:
         """The lists of a watch at a new address, the first of them whole.
@@ -192,29 +236,36 @@
 
     async def lines(self, call: Call) -> AsyncIterator[Listing | CallFailed | None]:
         """The lists of a watch, one JSON object a line, None for an empty line; a last failure ends it."""
-        held, limit = bytearray(), timing.ANSWER
+        loop = asyncio.get_running_loop()
+        held, limit, line_due = bytearray(), timing.ANSWER, loop.time() * 1000.0 + timing.LINE
         while True:
-            piece = await call.chunk(limit)
+            piece = await call.chunk(min(limit, max(0.0, line_due - loop.time() * 1000.0)))
             if piece is None or isinstance(piece, CallFailed):
                 yield piece if piece is not None else CallFailed(Stage.BODY, "watch ended")
                 return
+            searched = len(held)
             held += piece
             limit = timing.SILENCE
-            while (end := held.find(b"\n")) >= 0:
+            while (end := held.find(b"\n", searched)) >= 0:
                 line = bytes(held[:end]).strip()
                 del held[:end + 1]
+                searched, line_due = 0, loop.time() * 1000.0 + timing.LINE
                 found = parse_listing(line) if line else None
                 yield found
                 if isinstance(found, CallFailed):
                     return
+            if held and loop.time() * 1000.0 > line_due:
+                yield CallFailed(Stage.BODY, "a line without end", timed_out=True)
+                return
             if len(held) > timing.BODY_MOST:
                 yield CallFailed(Stage.BODY, f"line over {timing.BODY_MOST} bytes")
                 return
 
     def settle(self, found: Listing, address: str) -> None:
+        self.backoff.reset()
         if address != self.source:
             logger.info("discovery {} takes the place of {}", address, self.source)
-            self.source = address
+            self.source, found = address, replace(found, anew=True)
         if self.successor is asyncio.current_task():
             if self.watching is not None:
                 self.watching.cancel()
@@ -228,6 +279,6 @@
         """One event that the list could not be had; the policy says when to ask again."""
         logger.warning("discovery {} failed at {}: {}", address, failed.stage.name, failed.reason)
         if self.follow_always:
-            asyncio.get_running_loop().call_later(timing.DIAL / 1000.0, self.mailbox.put_nowait, "watch")
+            asyncio.get_running_loop().call_later(self.backoff.next() / 1000.0, self.mailbox.put_nowait, "watch")
         else:
             self.post(ListFailed())
--- a/stackwheel/wire/http.py
+++ b/stackwheel/wire/http.py
@@ -57,17 +57,19 @@
     def __init__(self, address: str, target: str) -> None:
         self.address, self.target = address, target
         self.http = h11.Connection(h11.CLIENT)
+        self.dialling: asyncio.Task[tuple[asyncio.StreamReader, asyncio.StreamWriter]] | None = None
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
 
     async def open(self, dial: float, answer: float) -> CallFailed | None:
         """Send the request and read the head of the answer; None if it is 200."""
         try:
-            opened = await within(dial, asyncio.open_connection(*split_address(self.address)))
+            self.dialling = asyncio.ensure_future(asyncio.open_connection(*split_address(self.address)))
+            opened = await within(dial, self.dialling)
             if opened is None:
                 return CallFailed(Stage.DIAL, "no connection in time", timed_out=True)
             self.reader, self.writer = opened
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:  # the last: a port that is none
             return CallFailed(Stage.DIAL, str(error))
         try:
             head = h11.Request(method="GET", target=self.target,
@@ -94,7 +96,7 @@
             return CallFailed(Stage.BODY, "silence", timed_out=True)
         return bytes(event.data) if isinstance(event, h11.Data) else None
 
-    async def body(self, limit: float) -> bytes | CallFailed:
+    async def body(self, limit: float, most: int = timing.BODY_MOST) -> bytes | CallFailed:
         """The whole body, all of it within the limit."""
         loop = asyncio.get_running_loop()
         until, gathered = loop.time() * 1000.0 + limit, bytearray()
@@ -105,8 +107,8 @@
             if piece is None:
                 return bytes(gathered)
             gathered += piece
-            if len(gathered) > timing.BODY_MOST:
-                return CallFailed(Stage.BODY, f"over {timing.BODY_MOST} bytes")
+            if len(gathered) > most:
+                return CallFailed(Stage.BODY, f"over {most} bytes")
 
     async def event(self) -> h11.Event:
         assert self.reader is not None
@@ -118,14 +120,18 @@
                 return event
 
     def close(self) -> None:
-        if self.writer is not None:
-            self.writer.transport.abort()
+        """Also of a call that was given up in the turn in which its connection came: nobody else would."""
+        if self.dialling is not None and self.dialling.done() and not self.dialling.cancelled() \
+                and self.dialling.exception() is None:
+            _, writer = self.dialling.result()
+            writer.transport.abort()
 
 
-async def get(address: str, target: str, dial: float, answer: float) -> bytes | CallFailed:
+async def get(address: str, target: str, dial: float, answer: float,
+              most: int = timing.BODY_MOST) -> bytes | CallFailed:
     call = Call(address, target)
     try:
         failed = await call.open(dial, answer)
-        return failed if failed is not None else await call.body(answer)
+        return failed if failed is not None else await call.body(answer, most)
     finally:
         call.close()
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
+from random import Random
 
 from loguru import logger
 
@@ -13,7 +14,7 @@
 from stackwheel.interface import Server, Settings
 from stackwheel.settings import Names
 from stackwheel.state.clock import Clock
-from stackwheel.state.module import Item
+from stackwheel.state.module import Asked, Item, Probed
 from stackwheel.state.orders import Message
 from stackwheel.state.roster import Roster
 from stackwheel.state.streams import Line
@@ -49,12 +50,13 @@
     """The module's outside, on this protocol."""
 
     def __init__(self, addresses: Addresses, settings: Settings, names: Names, roster: Roster,
-                 clock: Clock, listen_at: Callable[[str], socket.socket] = stand_open) -> None:
+                 clock: Clock, listen_at: Callable[[str], socket.socket] = stand_open, seed: int = 0) -> None:
         self.addresses, self.settings, self.names = addresses, settings, names
         self.roster, self.clock, self.listen_at = roster, clock, listen_at
         self.encoder = Encoder(names, roster.ids)
         self.discovery = Discovery(addresses.discovery, roster.generation, not settings.list_on_request,
-                                   lambda item: self.post(item))
+                                   lambda item: self.post(item), Random(seed), settings.ask_within,
+                                   timing.renewal(settings.planners))
         self.datagrams = Datagrams(addresses.peers, addresses.peers_all, settings.planner,
                                    lambda item: self.post(item))
         self.strangers: dict[Peer, None] = {}  # the first to come first
@@ -74,9 +76,10 @@
         if self.settings.peers_allowed and self.addresses.peer_listen:
             await loop.create_datagram_endpoint(lambda: self.datagrams,
                                                 local_addr=split_address(self.addresses.peer_listen))
-        self.keep(self.discovery.run())
-        self.keep(self.listen(self.listen_at(self.addresses.listen)))
-        self.keep(self.sweep())
+        listener = self.listen_at(self.addresses.listen)
+        self.keep_up("list", self.discovery.run)
+        self.keep_up("listener", lambda: self.listen(listener))
+        self.keep_up("sweep", self.sweep)
 
     def readdress(self, addresses: Addresses) -> None:
         """Go on with other addresses and limits."""
@@ -90,6 +93,18 @@
         self.tasks.add(task)
         task.add_done_callback(self.ended)
 
+    def keep_up(self, name: str, work: Callable[[], Coroutine[object, object, None]]) -> None:
+        """What the process is nothing without: a fault is logged, and it begins again."""
+        async def again() -> None:
+            while True:
+                try:
+                    return await work()
+                except Exception as error:
+                    logger.opt(exception=True).error("{}: fault {!r}; it begins again", name, error)
+                    await asyncio.sleep(timing.FAULT_AGAIN / 1000.0)
+
+        self.keep(again())
+
     def ended(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
@@ -136,6 +151,10 @@
     async def attend(self, connection: socket.socket) -> None:
         try:
             reader, writer = await asyncio.open_connection(sock=connection, limit=timing.READ_BYTES)
+        except OSError as error:
+            logger.info("a connection ended before it was attended: {}", error)
+            connection.close()
+            return
         finally:
             self.arriving -= 1
         peer = Peer(reader, writer, self.names, self.settings.proxies, self.post, self.known,
@@ -195,20 +214,20 @@
     def fetch_list(self) -> None:
         self.discovery.mailbox.put_nowait("fetch")
 
-    def probe(self, server: Server) -> None:
-        async def ask(address: str) -> None:
-            self.probing += 1
+    def probe(self, server: Server, asked: Asked) -> None:
+        async def ask() -> None:
             try:
-                self.post(await probe(server, address, self.names, self.clock))
+                self.post(Probed(asked, await probe(server, asked.address, self.names, self.clock)))
             finally:
                 self.probing -= 1
 
         if self.full():  # connections that come need the descriptors
             return
-        if address := self.roster.addresses.get(server):
-            self.keep(ask(address))
+        if asked.address:
+            self.probing += 1  # from now on: many may be asked for in one turn
+            self.keep(ask())
         else:  # no list has told where it is
-            self.post(face.ProbeResult(server, face.Probed.UNREACHABLE, 0.0))
+            self.post(Probed(asked, face.ProbeResult(server, face.Probed.UNREACHABLE, 0.0)))
 
     def tell_peers(self, payload: bytes, peer: int | None) -> None:
         self.datagrams.send(payload, peer)
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -83,6 +83,7 @@
         self.left_out = 0  # of them, as they could not be used
         self.unsent = 0  # bytes in the mailbox
         self.ended = False  # by us
+        self.retired = False  # another connection speaks for its proxy
         self.mailbox: asyncio.Queue[bytes] = asyncio.Queue()
         host, port = (writer.get_extra_info("peername") or ("?", 0))[:2]
         self.address = f"{host}:{port}"
@@ -198,13 +199,21 @@
         self.known(self, True)
 
     def superseded(self) -> None:
-        """Another connection speaks for its proxy now: this one is nobody's, and may end."""
+        """Another connection speaks for its proxy now: this one is nobody's, and may end. What waits for it is
+        dropped, as the proxy gets all anew there, and its messages are counted."""
         if self.ended:  # it is gone already, only the module has not heard so
             return
+        self.retired = True
         self.splitter.limit = FIRST_BYTES
         self.since = asyncio.get_running_loop().time()
         self.known(self, False)
 
+    def carries(self) -> None:
+        """It speaks for its proxy, as the module sees it."""
+        if not self.ended and self.retired:
+            self.retired = False
+            self.introduced()
+
     def send(self, data: bytes) -> None:
         """Never waits; who leaves too much unread is cut off, so that what waits is bounded."""
         self.unsent += len(data)
@@ -215,17 +224,31 @@
         self.account()
 
     async def write(self) -> None:
+        """An order goes out only while this connection carries its proxy: waiting for its turn it may lose it."""
+        now = asyncio.get_running_loop().time
         try:
             while True:
                 data = await self.mailbox.get()
-                if data is not PONG and self.proxy is not None:
-                    now, pace = asyncio.get_running_loop().time, self.pace(self.proxy)
-                    while (wait := pace.wait(now())) > 0:
-                        await asyncio.sleep(wait)
-                    pace.wrote(now())
-                self.writer.write(data)
-                await self.writer.drain()
+                order = data is not PONG and self.proxy is not None
+                pace = self.pace(self.proxy) if order and self.proxy is not None else None
+                while pace is not None and self.speaks and (wait := pace.wait(now())) > 0:
+                    await asyncio.sleep(wait)
+                if self.ended:
+                    return
+                if not order or self.speaks:
+                    if pace is not None:
+                        pace.wrote(now())
+                    self.writer.write(data)
+                    await self.writer.drain()
                 self.unsent -= len(data)
                 self.account()
         except OSError:
             return  # the reader sees the end too, and tells
+        except Exception as error:  # else the stream would look alive, and nothing would reach it any more
+            logger.exception("{}: fault {!r}", self, error)
+            self.end("as nothing can be written to it")
+
+    @property
+    def speaks(self) -> bool:
+        """Whether orders for its proxy may go out here."""
+        return not (self.ended or self.retired)
--- a/stackwheel/wire/probes.py
+++ b/stackwheel/wire/probes.py
@@ -14,7 +14,8 @@
 
 async def probe(server: Server, address: str, names: Names, clock: Clock) -> face.ProbeResult:
     began = clock.now()
-    body = await get(address, "/stats" if names.load_on_probe else "/health/live", timing.PROBE, timing.PROBE)
+    target = "/stats" if names.load_on_probe else "/health/live"
+    body = await get(address, target, timing.PROBE, timing.PROBE, timing.PROBE_MOST)
     elapsed = clock.now() - began
     if isinstance(body, CallFailed):
         return face.ProbeResult(server, outcome(body), elapsed)
--- a/stackwheel/wire/timing.py
+++ b/stackwheel/wire/timing.py
@@ -4,6 +4,7 @@
 
 BEAT = 2000.0  # the protocol: a watch writes an empty line so often while nothing changes
 SILENCE = 1.5 * BEAT  # a quiet watch has gone; what it has to tell counts as told after 6 s
+LINE = 3 * BEAT  # for a whole line of a watch: what it tells counts as told by then, whether it has come or not
 ANSWER = BEAT  # for a call's answer: discovery turns away what has waited too long before that
 DIAL = 0.5 * BEAT  # a machine that is cut off gives no sign
 GRACE = 50.0  # for bytes that lie ready when a time is up: this process may itself have stood still
@@ -17,7 +18,10 @@
 RECEIVE_BUFFER = 32 * 1024  # in the kernel, of a connection: so much of a flood waits here at once
 COLLECTORS_MOST = 2  # of a zone: a new one comes before the old one is seen to end
 BODY_MOST = 16 << 20  # bytes of an answer or of one line of a watch
+PROBE_MOST = 64 << 10  # bytes of a probe's answer: a load report is one line
+AGAIN_MOST = 0.4  # of the time within which discovery has to be asked: so late a call that failed is repeated
 ACCEPT_AGAIN = 10.0  # after a connection that could not be accepted
+FAULT_AGAIN = 100.0  # after a defect of ours in the listener or the like: soon, but no storm
 ACCEPT_BURST = 64  # connections set up at once
 LISTEN_BACKLOG = 4096  # connections that wait to be accepted: every proxy may come at once; the kernel's usual most
 KEPT_SOCKETS = 32  # descriptors kept back for list, datagrams, log and loop; some 15 are used
@@ -25,6 +29,14 @@
 SILENT_CYCLES = 4  # of reports: a proxy with requests says something each cycle
 
 
+def renewal(planners: int) -> float:
+    """How long a watch may tell no change before it is renewed, in case its updates have stopped while it beats.
+
+    No sooner than what it has to tell counts as told, and all planners together one call a beat at most.
+    """
+    return max(LINE, planners * BEAT)
+
+
 def stream_silence(cycle: float, full_queue: float, transit: float) -> float:
     """How long a joined proxy may say nothing and leave a mark unanswered; that may wait in a full queue."""
     return SILENT_CYCLES * cycle + full_queue + 2 * transit
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -28,6 +28,9 @@
     def superseded(self) -> None:
         self.replaced = True
 
+    def carries(self) -> None:
+        self.replaced = False
+
 
 def listing(*started: str) -> Listing:
     return Listing(1, True, tuple(
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,129 @@
+"""The list as kept: older states, discoveries that begin anew, former processes, entries that can't be read."""
+
+import pytest
+
+from stackwheel import interface as face
+from stackwheel.interface import Availability
+from stackwheel.state.ids import Ids, digest
+from stackwheel.state.roster import STALE_MOST, Instance, Listing, Roster
+
+READY, DRAINING, GONE = Availability.READY, Availability.DRAINING, Availability.GONE
+
+
+def one(name: str, state: Availability = READY, started: float = 0.0, zone: str = "east") -> Instance:
+    return Instance(name, "127.0.0.1:1", zone, "small", 0, state, 1.0, started)
+
+
+def whole(generation: int, *instances: Instance, unreadable: tuple[str, ...] = (), anew: bool = False) -> Listing:
+    return Listing(generation, True, instances, frozenset(unreadable), anew)
+
+
+def changes(generation: int, *instances: Instance) -> Listing:
+    return Listing(generation, False, instances)
+
+
+class Kept:
+    def __init__(self, *listings: Listing) -> None:
+        self.roster = Roster(("east", "west"), ("small",), Ids())
+        self.told: dict[face.Server, face.ServerEntry] = {}
+        self.take(whole(40, one("a"), one("b"), one("c")), *listings)
+
+    def take(self, *listings: Listing, now: float = 0.0) -> None:
+        """As the policy keeps it: what it is told, and nothing else."""
+        for listing in listings:
+            update = self.roster.apply(listing, now)
+            if update.scope is face.ListScope.WHOLE:
+                self.told = {}
+            self.told.update({entry.server: entry for entry in update.entries})
+
+    def ready(self) -> set[str]:
+        told = {s for s, e in self.told.items() if e.availability is READY}
+        assert told == {s for s, e in self.roster.entries.items() if e.availability is READY}
+        return {str(self.roster.ids.name(s)) for s in told}
+
+
+OVERTAKEN = whole(41, one("a"), one("b"), one("c"))  # the state before b drained and c left
+
+
+def test_an_older_whole_list_brings_nothing_back() -> None:
+    """It was believed whole, and what drained or had left was ready again."""
+    kept = Kept(changes(42, one("b", DRAINING)), changes(43, one("c", GONE)), changes(44, one("d")))
+    kept.take(OVERTAKEN, now=1000.0)
+    assert kept.ready() == {"a", "d"} and kept.roster.generation == 44
+    assert kept.roster.settled(1000.0 + STALE_MOST - 1.0) is None
+    kept.take(changes(45, one("e")), now=2000.0)  # the line of generations goes on: it was stale
+    assert kept.roster.settled(1e9) is None
+    assert kept.ready() == {"a", "d", "e"}
+
+
+def test_a_discovery_that_began_anew_holds_once_nothing_newer_can_come() -> None:
+    kept = Kept(changes(42, one("b", DRAINING)), changes(43, one("c", GONE)), changes(44, one("d")))
+    kept.take(whole(1, one("a"), one("b"), one("c")), now=1000.0)
+    kept.take(changes(2, one("f"), one("a", DRAINING)), now=2000.0)
+    assert kept.ready() == {"d", "f"}  # drains count from any generation
+    settled = kept.roster.settled(1000.0 + STALE_MOST)
+    assert settled is not None
+    kept.take(settled, now=1000.0 + STALE_MOST)
+    assert kept.ready() == {"b", "c", "f"} and kept.roster.generation == 2
+    kept.take(changes(3, one("g")))
+    assert kept.ready() == {"b", "c", "f", "g"} and kept.roster.settled(1e9) is None
+
+
+def test_a_discovery_that_began_anew_and_revives_nothing_is_believed_at_once() -> None:
+    """Its departures bind from their telling: they may not wait."""
+    kept = Kept(changes(42, one("b", DRAINING)))
+    kept.take(whole(1, one("a")))
+    assert kept.ready() == {"a"} and kept.roster.generation == 1
+
+
+def test_a_list_of_a_discovery_that_moved_is_taken_whole() -> None:
+    kept = Kept(changes(42, one("b", GONE)))
+    kept.take(whole(7, one("b"), anew=True))
+    assert kept.ready() == {"b"} and kept.roster.generation == 7
+
+
+@pytest.mark.parametrize("state", [DRAINING, GONE])
+def test_a_former_process_takes_out_nothing(state: Availability) -> None:
+    """An older generation that tells the drain of a server's former process took its new one out."""
+    kept = Kept(changes(42, one("b", GONE, 100.0)), changes(43, one("b", READY, 500.0)))
+    kept.take(changes(41, one("b", state, 100.0)))
+    assert kept.ready() == {"a", "b", "c"}
+    kept.take(changes(41, one("b", state, 500.0)))  # but that of this one does
+    assert kept.ready() == {"a", "c"}
+
+
+def test_what_left_is_not_listed_again_as_draining() -> None:
+    kept = Kept(changes(43, one("b", GONE)))
+    kept.take(changes(42, one("b", DRAINING)))
+    assert digest("b") not in kept.roster.entries
+
+
+@pytest.mark.parametrize(("unreadable", "left"), [(("b",), {"a", "b"}), (("",), {"a", "b", "c"}), ((), {"a"})])
+def test_an_entry_that_cannot_be_read_is_no_departure(unreadable: tuple[str, ...], left: set[str]) -> None:
+    """A whole list without it took a good server away; of one whose name is lost nobody can say who it was."""
+    kept = Kept()
+    kept.take(whole(41, one("a"), unreadable=unreadable))
+    assert kept.ready() == left
+
+
+def test_an_unknown_zone_is_no_departure() -> None:
+    kept = Kept()
+    kept.take(whole(41, one("a"), one("b", zone="moon"), one("new", zone="moon")))
+    assert kept.ready() == {"a", "b"}
+
+
+def test_of_doubled_entries_the_later_process_or_the_last_word_counts() -> None:
+    kept = Kept()
+    kept.take(changes(41, one("a", GONE), one("a", READY, 900.0), one("b", READY, 900.0), one("b", GONE, 100.0),
+                      one("c"), one("c", DRAINING)))
+    assert kept.ready() == {"a", "b"}
+    assert kept.roster.entries[digest("b")].started == 900.0
+
+
+def test_what_was_met_at_a_former_process_is_told_apart() -> None:
+    kept = Kept(changes(41, one("b", GONE, 100.0)), changes(42, one("b", READY, 5000.0), one("new", READY, 5000.0)))
+    roster = kept.roster
+    assert roster.past(digest("b"), 4999.0) and not roster.past(digest("b"), 5000.0)
+    assert not roster.past(digest("new"), 4000.0)  # nobody else had that id
+    kept.take(whole(43, one("a", READY, 7000.0)))
+    assert roster.past(digest("a"), 6000.0) and list(roster.renewed) == [digest("a")]  # and b is forgotten
