--- a/tests/planner.py
+++ b/tests/planner.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+import tomllib
 from collections.abc import AsyncIterator, Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -101,20 +102,43 @@
     async def stop(self, number: int = signal.SIGTERM) -> tuple[int, str]:
         """The exit code and the log."""
         if self.process.returncode is None:
-            self.process.send_signal(number)
+            send(self.process, number)
         _, log = await asyncio.wait_for(self.process.communicate(), MOST)
         assert self.process.returncode is not None
         return self.process.returncode, log.decode()
 
 
-async def start(found: dict[str, Any], folder: Path, **environment: str) -> asyncio.subprocess.Process:
+async def start(found: dict[str, Any], folder: Path, command: tuple[str, ...] = (sys.executable, "-m", "stackwheel"),
+                **environment: str) -> asyncio.subprocess.Process:
     path = folder / "config.json"
     path.write_text(json.dumps(found))
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "stackwheel", cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+        *command, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
         env={**os.environ, "ROUTER_CONFIG": str(path), **environment})
 
 
+def send(process: asyncio.subprocess.Process, number: int) -> None:
+    """The process's own method asks first whether it has ended, and takes its exit code from asyncio: 255 is seen."""
+    with contextlib.suppress(ProcessLookupError):
+        os.kill(process.pid, number)
+
+
+def run_line() -> tuple[str, ...]:
+    """The deploy file's `run` as the platform starts it, with this interpreter."""
+    told = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    assert ".venv/bin/python" in told
+    return "/bin/sh", "-c", told.replace(".venv/bin/python", sys.executable)
+
+
+async def signals(process: asyncio.subprocess.Process, kind: str, number: int) -> None:
+    """Until the process blocks (SigBlk), ignores (SigIgn) or catches (SigCgt) a signal."""
+    status = Path(f"/proc/{process.pid}/status")
+    while not any(line.startswith(kind) and int(line.split()[1], 16) & 1 << (number - 1)
+                  for line in status.read_text().splitlines()):
+        assert process.returncode is None, f"{kind} of signal {number} was never seen"
+        await asyncio.sleep(0)
+
+
 @contextlib.asynccontextmanager
 async def running(folder: Path, servers: int = 4, troubles: tuple[str, ...] = (),
                   **changed: Any) -> AsyncIterator[PlannerProcess]:
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -88,12 +88,44 @@
     """Their acknowledgements never come; the queue is then taken to drain slowly, and orders go on."""
     desk = fleet()
     owed = desk.planner.outbox.queued
-    assert owed > 0
+    desk.send(wait=100.0)
+    assert owed > 0 and desk.planner.outbox.queued == owed  # they may still tell
     desk.send(*(face.ProxyLeft(proxy) for proxy in range(PROXIES)), wait=100.0)
-    desk.send(wait=1000.0)
+    desk.send(wait=200.0)
     assert desk.planner.outbox.queued < owed
 
 
+def test_who_has_come_again_owes_nothing_on_its_former_stream() -> None:
+    """Streams that are replaced take their marks with them: four planners' proxies waited for each other's."""
+    desk = fleet()
+    owed = desk.planner.outbox.queued
+    again = [event for proxy in range(PROXIES) for event in (
+        face.ProxyLeft(proxy), face.ProxyJoined(proxy, proxy % 2, 40.0, False))]
+    desk.planner.outbox.queued = desk.settings.backlog  # so that nothing new is sent, and all that is owed is old
+    desk.send(*again, wait=100.0)
+    desk.send(wait=200.0)
+    assert owed > 0 and desk.planner.outbox.queued < desk.settings.backlog
+
+
+def test_what_went_leaves_all_tables_before_ordinary_changes_are_sent() -> None:
+    """Withdrawals that fitted went with 2,380 ordinary lines of the first group, and the last group's waited behind
+    those for seconds of a slow channel."""
+    desk = Desk(servers=[entry(n, 0) for n in range(SERVERS)], proxies=[(n, 0) for n in range(200)], zones=1,
+                backlog=40_000.0)
+    for _ in range(30):
+        desk.slot(tries=8, demand=3, zones=(0,))
+    groups = [group for group in desk.planner.all_groups() if group.users]
+    assert len(groups) > 2
+    for _ in range(6):  # weights want to move, but the queue is long
+        desk.planner.outbox.queued = desk.settings.backlog
+        desk.slot(tries=8, demand=3, zones=(0,), use={n: 0.2 + 0.08 * (n % 9) for n in range(SERVERS)})
+    owed = sum(len(group.users) * (4 + desk.planner.outbox.head) for group in groups)  # its lines and levels
+    desk.planner.outbox.queued = 0.25 * desk.settings.backlog - owed - 1.0
+    desk.planner.outbox.unacked.clear()
+    desk.listed(entry(3, 0, Availability.DRAINING))
+    assert all(name(3) not in table.sent for group in groups for table in group.tables)
+
+
 def test_one_lost_acknowledgement_stops_nothing() -> None:
     """A spoilt answer is left out: who owes it is joined, but a queue that nobody speaks of drains slowly."""
     desk = fleet()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -271,13 +271,15 @@
         while call.dialling is None:
             await asyncio.sleep(0)
         if when == "connected":  # in the very turn in which the connection came, before anybody took it
-            await asyncio.wait({call.dialling})
+            call.dialling.add_done_callback(lambda _: task.cancel())
         elif when == "answered":
             (await first.calls.get()).answer(b"x")
             while call.http.their_state.__name__ != "DONE" and call.writer is None:
                 await asyncio.sleep(0)
-        task.cancel()
+        if when != "connected":
+            task.cancel()
         await asyncio.wait({task, call.dialling})
+        assert call.writer is None or when == "answered"
         await asyncio.sleep(0)
         if not call.dialling.cancelled():
             _, writer = call.dialling.result()
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -3,16 +3,20 @@
 import asyncio
 import json
 import signal
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
-from planner import MOST, PlannerProcess, full, run, running, start
+from planner import MOST, PlannerProcess, full, run, run_line, running, send, signals, start
 from standins import Discovery, config, free_port
 
+from stackwheel.service.config import read_config
+from stackwheel.service.reload import Reload
 from stackwheel.state.module import ListFailed
 from stackwheel.state.roster import Listing
 from stackwheel.wire import discovery as wire
+from stackwheel.wire.links import Addresses
 
 
 async def another(*servers: str, generation: int = 1) -> Discovery:
@@ -27,7 +31,7 @@
 def reload(planner: PlannerProcess, folder: Path, text: str | None = None, **changed: Any) -> None:
     planner.config.update(changed)
     (folder / "config.json").write_text(json.dumps(planner.config) if text is None else text)
-    planner.process.send_signal(signal.SIGHUP)
+    send(planner.process, signal.SIGHUP)
 
 
 async def logged(planner: PlannerProcess, words: str) -> None:
@@ -118,7 +122,7 @@
             reload(planner, tmp_path, discovery=third.address)
             await proxy.until(full({"s-0", "s-9"}))
             reload(planner, tmp_path, discovery=second.address)
-            planner.process.send_signal(signal.SIGTERM)
+            send(planner.process, signal.SIGTERM)
             code, log = await planner.stop()
             assert code == 0 and "Traceback" not in log and "failed" not in log
 
@@ -150,12 +154,8 @@
         discovery = Discovery()
         await discovery.start()
         process = await start(config(discovery.address), tmp_path)
-        status = Path(f"/proc/{process.pid}/status")
-        while not any(line.startswith("SigBlk") and int(line.split()[1], 16) & 1 << (signal.SIGHUP - 1)
-                      for line in status.read_text().splitlines()):
-            assert process.returncode is None
-            await asyncio.sleep(0)
-        process.send_signal(signal.SIGHUP)
+        await signals(process, "SigBlk", signal.SIGHUP)
+        send(process, signal.SIGHUP)
         planner = PlannerProcess(process, json.loads((tmp_path / "config.json").read_text()), discovery)
         await planner.ready()
         code, log = await planner.stop()
@@ -164,6 +164,95 @@
     run(work())
 
 
+def test_hangups_from_the_first_moment_on_are_no_end(tmp_path: Path) -> None:
+    """Before its first line the interpreter knows no handler: a SIGHUP then ended the process."""
+    async def work() -> None:
+        discovery = Discovery()
+        await discovery.start()
+        process = await start(config(discovery.address), tmp_path, run_line())
+        await asyncio.wait_for(signals(process, "SigIgn", signal.SIGHUP), MOST)
+        planner = PlannerProcess(process, json.loads((tmp_path / "config.json").read_text()), discovery)
+        ready = asyncio.create_task(planner.ready())
+        while not ready.done():
+            send(process, signal.SIGHUP)
+            await asyncio.sleep(0.001)
+        await ready
+        code, log = await planner.stop()
+        assert code == 0 and "Traceback" not in log and "configuration reloaded; changed: nothing" in log
+
+    run(work())
+
+
+def test_a_file_that_was_half_written_is_read_again(tmp_path: Path) -> None:
+    """The signal came before its writer had ended: no second one comes."""
+    async def work() -> None:
+        second = await another("s-0", "s-9")
+        async with running(tmp_path) as planner:
+            proxy = await planner.join(0)
+            await proxy.until(full({"s-0", "s-1", "s-2", "s-3"}))
+            proxy.tables.servers.add("s-9")
+            planner.config["discovery"] = second.address
+            text = json.dumps(planner.config)
+            reload(planner, tmp_path, text[: len(text) // 2])
+            await logged(planner, "configuration not reloaded")
+            (tmp_path / "config.json").write_text(text)
+            await proxy.until(full({"s-0", "s-9"}))
+            code, log = await planner.stop()
+            assert code == 0 and "Traceback" not in log
+
+    run(work())
+
+
+@pytest.mark.parametrize("moment", ["first line", "ready", "crowd", "reload", "twice", "discovery silent"])
+def test_a_stop_at_any_moment_is_an_end_with_0(tmp_path: Path, moment: str) -> None:
+    async def work() -> None:
+        discovery = Discovery()
+        await discovery.start()
+        discovery.troubles = ["silence"] * 3 if moment == "discovery silent" else []
+        process = await start(config(discovery.address), tmp_path, run_line())
+        planner = PlannerProcess(process, json.loads((tmp_path / "config.json").read_text()), discovery)
+        await signals(process, "SigCgt", signal.SIGTERM)
+        if moment != "first line":
+            await planner.ready()
+        if moment == "crowd":
+            crowd = [await planner.connect() for _ in range(60)]
+            for number, connection in enumerate(crowd):
+                connection.say(f"SUBSCRIBE id={number % 8} site=east rps=5 new=0")
+        if moment == "reload":
+            send(process, signal.SIGHUP)
+        send(process, signal.SIGTERM)
+        if moment == "twice":
+            send(process, signal.SIGTERM)
+        code, log = await planner.stop()
+        assert code == 0 and "Traceback" not in log
+
+    run(work())
+
+
+def test_a_fault_while_a_file_is_applied_leaves_the_next_signal_heard() -> None:
+    """The reload's task died with it, and SIGHUP did nothing any more."""
+    async def work() -> None:
+        found = read_config(config("127.0.0.1:1"))
+        applied: list[str] = []
+
+        def apply(addresses: Addresses) -> None:
+            applied.append(addresses.discovery)
+            if len(applied) == 1:
+                raise RuntimeError("a defect")
+
+        moved = replace(found, addresses=replace(found.addresses, discovery="127.0.0.1:2"))
+        actor = Reload(found, apply, lambda: moved)
+        task = asyncio.create_task(actor.run())
+        for count in (1, 2):
+            actor.ask()
+            while len(applied) < count:
+                await asyncio.sleep(0)
+        assert not task.done()
+        task.cancel()
+
+    run(work())
+
+
 class Watch:
     """The list's actor in a process of the test's own."""
 
