Rename: strangers are unidentified connections, paces are rate limiters

Need: names are the field's where code is touched. In wire/ and its tests a connection that has not said what it is was a stranger, its deadline STRANGER, and what keeps a proxy's message cap a Pace. They are unidentified, IDENTIFY and RateLimiter now; log lines say "unidentified at ADDRESS". Nothing else changes.

--- a/stackwheel/trials/defects.py
+++ b/stackwheel/trials/defects.py
@@ -32,7 +32,7 @@
 from stackwheel.wire.discovery import Discovery
 from stackwheel.wire.lines import Encoder
 from stackwheel.wire.links import Links
-from stackwheel.wire.peer import Pace, Peer, Waiting
+from stackwheel.wire.peer import Peer, RateLimiter, Waiting
 from stackwheel.wire.values import Spoilt
 
 Patch = tuple[Any, str, Any]
@@ -219,7 +219,7 @@
 
     def begin(self: Links, *about: Any, **more: Any) -> None:
         honest(self, *about, **more)
-        self.strangers = Keeping()
+        self.unidentified = Keeping()
 
     return [(Links, "__init__", begin)]
 
@@ -251,14 +251,14 @@
 
 
 def uncapped() -> Sequence[Patch]:
-    return [(Outbox, "may_write", lambda self, proxy, share: True), (Pace, "wait", lambda self, now: 0.0)]
+    return [(Outbox, "may_write", lambda self, proxy, share: True), (RateLimiter, "wait", lambda self, now: 0.0)]
 
 
 def capped_by_stream() -> Sequence[Patch]:
-    def pace(self: Links, proxy: int) -> Pace:
-        return Pace(self.settings.message_cap, self.settings.message_window)
+    def limiter(self: Links, proxy: int) -> RateLimiter:
+        return RateLimiter(self.settings.message_cap, self.settings.message_window)
 
-    return [(Links, "pace", pace), (Outbox, "may_write", lambda self, proxy, share: True)]
+    return [(Links, "limiter", limiter), (Outbox, "may_write", lambda self, proxy, share: True)]
 
 
 def written_in_place() -> Sequence[Patch]:
--- a/stackwheel/trials/planners.py
+++ b/stackwheel/trials/planners.py
@@ -158,11 +158,11 @@
         links, module, roster = self.service.links, self.service.module, self.service.roster
         proxies = self.world.shape.proxies
         yield "streams", len(module.streams.by_proxy) + len(module.streams.silent), proxies
-        yield "paces", len(links.paces), proxies
+        yield "limiters", len(links.limiters), proxies
         yield "bytes that wait", links.waiting.total, links.waiting.most
         yield "bytes that wait, beside their sum", abs(links.waiting.total - sum(links.waiting.held.values())), 0
         yield "peers that hold bytes, not attended", sum(p not in links.peers for p in links.waiting.held), 0
-        yield "strangers not attended", sum(p not in links.peers for p in links.strangers), 0
+        yield "unidentified not attended", sum(p not in links.peers for p in links.unidentified), 0
         yield "connections", len(links.peers) + links.arriving, 1024
         yield "tasks", len(links.tasks), 8 + 2 * len(links.peers) + 4 * self.world.shape.servers
         yield "calls for the list", len(links.discovery.fetching), 16
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -23,7 +23,7 @@
 from stackwheel.wire.discovery import Discovery, Move
 from stackwheel.wire.http import split_address
 from stackwheel.wire.lines import Encoder
-from stackwheel.wire.peer import Pace, Peer, Waiting
+from stackwheel.wire.peer import Peer, RateLimiter, Waiting
 from stackwheel.wire.probes import probe
 
 
@@ -59,12 +59,12 @@
                                    timing.renewal(settings.planners))
         self.datagrams = Datagrams(addresses.peers, addresses.peers_all, settings.planner,
                                    lambda item: self.post(item))
-        self.strangers: dict[Peer, None] = {}  # the first to come first
+        self.unidentified: dict[Peer, None] = {}  # the first to come first
         self.arriving = 0  # connections taken, but not attended yet
         self.probing = 0  # probes under way
         self.peers: dict[Peer, None] = {}  # all connections that are attended, the first to come first
         self.collectors: dict[int, list[Peer]] = {}  # of each zone; the older ones are heard too
-        self.paces: dict[int, Pace] = {}  # of proxies, whatever connection they have
+        self.limiters: dict[int, RateLimiter] = {}  # of proxies, whatever connection they have
         self.waiting = Waiting(timing.waiting_most(addresses.memory_mb))
         self.post: Callable[[Item], None] = lambda item: None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -135,9 +135,9 @@
         return self.arriving + len(self.peers) + self.probing >= max(1, self.addresses.sockets - timing.KEPT_SOCKETS)
 
     def make_room(self) -> bool:
-        """Close the stranger that came first, unless its first bytes may be unread; else who went quiet."""
+        """Close the first unidentified connection, unless its first bytes may be unread; else who went quiet."""
         now = asyncio.get_running_loop().time()
-        if (first := next(iter(self.strangers), None)) is not None:
+        if (first := next(iter(self.unidentified), None)) is not None:
             if first.since > now - timing.YOUNG / 1000.0:
                 return False
             self.drop(first, "as no descriptor is left")
@@ -158,28 +158,28 @@
         finally:
             self.arriving -= 1
         peer = Peer(reader, writer, self.names, self.settings.proxies, self.post, self.known,
-                    self.pace, self.waiting, lambda server: self.roster.ids.name(server) is not None)
+                    self.limiter, self.waiting, lambda server: self.roster.ids.name(server) is not None)
         self.peers[peer] = None
         self.known(peer, False)
         try:
             await peer.run()
         finally:
             self.peers.pop(peer, None)
-            self.strangers.pop(peer, None)
+            self.unidentified.pop(peer, None)
             if peer.zone is not None:
                 self.collectors[peer.zone].remove(peer)
 
-    def pace(self, proxy: int) -> Pace:
+    def limiter(self, proxy: int) -> RateLimiter:
         """The limit of messages is of a proxy: a new stream begins no new count."""
-        if proxy not in self.paces:
-            self.paces[proxy] = Pace(self.settings.message_cap, self.settings.message_window + timing.JITTER)
-        return self.paces[proxy]
+        if proxy not in self.limiters:
+            self.limiters[proxy] = RateLimiter(self.settings.message_cap, self.settings.message_window + timing.JITTER)
+        return self.limiters[proxy]
 
     def known(self, peer: Peer, known: bool) -> None:
         """Keep who has not said what it is apart; of a zone's collectors the longest silent goes."""
-        self.strangers.pop(peer, None)
+        self.unidentified.pop(peer, None)
         if not known:
-            self.strangers[peer] = None
+            self.unidentified[peer] = None
         elif peer.zone is not None:
             others = [other for other in self.collectors.get(peer.zone, []) if other is not peer]
             self.collectors[peer.zone] = [*others, peer]
@@ -187,20 +187,20 @@
                 min(others, key=lambda other: other.heard_at).end("as its zone has newer collectors")
 
     def drop(self, peer: Peer, why: str) -> None:
-        self.strangers.pop(peer, None)
+        self.unidentified.pop(peer, None)
         peer.end(why)
 
     async def sweep(self) -> None:
-        """A stranger has one deadline from its coming, whatever it says; what lies ready still counts."""
+        """Unidentified connections have one deadline from their coming, whatever they say; what lies ready counts."""
         loop = asyncio.get_running_loop()
         while True:
             due = loop.time() + timing.SWEEP / 1000.0
             await asyncio.sleep(timing.SWEEP / 1000.0)
             if loop.time() > due + timing.GRACE / 1000.0:  # this process stood still
                 await asyncio.sleep(timing.GRACE / 1000.0)
-            until = loop.time() - timing.STRANGER / 1000.0
-            for peer in [peer for peer in self.strangers if peer.since < until]:
-                self.drop(peer, f"as it has not said what it is for {timing.STRANGER / 1000.0:g} s")
+            until = loop.time() - timing.IDENTIFY / 1000.0
+            for peer in [peer for peer in self.unidentified if peer.since < until]:
+                self.drop(peer, f"as it has not said what it is for {timing.IDENTIFY / 1000.0:g} s")
 
     def deliver(self, messages: Sequence[tuple[Line, Message]]) -> None:
         encoded = self.encoder.encode([message for _, message in messages])
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -29,7 +29,7 @@
 )
 
 
-class Pace:
+class RateLimiter:
     """Never more messages than the cap within the span, as written: the one over it waits its turn."""
 
     def __init__(self, cap: int, span: float) -> None:
@@ -69,15 +69,15 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, names: Names, proxies: int,
                  post: Callable[[Item], None], known: Callable[[Peer, bool], None],
-                 pace: Callable[[int], Pace], waiting: Waiting,
+                 limiter: Callable[[int], RateLimiter], waiting: Waiting,
                  listed: Callable[[face.Server], bool]) -> None:
         self.reader, self.writer, self.names, self.proxies = reader, writer, names, proxies
-        self.post, self.pace, self.waiting = post, pace, waiting
+        self.post, self.limiter, self.waiting = post, limiter, waiting
         self.listed = listed  # whether a server is known
         self.known = known  # told when the peer says what it is, and when it is nobody again
         self.proxy: int | None = None
         self.zone: int | None = None  # of a collector
-        self.since = self.heard_at = asyncio.get_running_loop().time()  # it is a stranger; it last spoke
+        self.since = self.heard_at = asyncio.get_running_loop().time()  # it has not said what it is; it last spoke
         self.splitter = Splitter()
         self.heard = 0  # messages
         self.left_out = 0  # of them, as they could not be used
@@ -89,7 +89,7 @@
         self.address = f"{host}:{port}"
 
     def __str__(self) -> str:
-        who = "stranger" if self.proxy is None else f"proxy {self.proxy}"
+        who = "unidentified" if self.proxy is None else f"proxy {self.proxy}"
         return f"{who if self.zone is None else 'collector'} at {self.address}"
 
     async def run(self) -> None:
@@ -131,7 +131,7 @@
         if isinstance(message, Unreadable):
             return message
         said = message if isinstance(message, Spoilt) else self.take(message)
-        if self.stranger:
+        if self.unidentified:
             if said is None and self.splitter.taken > FIRST_BYTES:
                 return Unreadable(f"over {FIRST_BYTES} bytes and no word of what it is")
             return None if said is None else Unreadable(said.reason)
@@ -144,7 +144,7 @@
         return None
 
     @property
-    def stranger(self) -> bool:
+    def unidentified(self) -> bool:
         return self.proxy is None and self.zone is None
 
     def account(self) -> None:
@@ -156,7 +156,7 @@
         if self.ended:
             return
         logger.warning("{}: closed {}", self, why)
-        if self.stranger:
+        if self.unidentified:
             self.writer.write(NACK)
         self.ended = True
         self.writer.transport.abort()
@@ -182,7 +182,7 @@
                 self.post(Said(proxy, face.DemandReport(proxy, place, count, failed, over), self))
             case Ack(proxy, mark, elapsed) if self.proxy == proxy:
                 self.post(Said(proxy, face.Acknowledged(proxy, mark, elapsed), self))
-            case Rate() | Ack() if not self.stranger:
+            case Rate() | Ack() if not self.unidentified:
                 return Spoilt(f"{type(message).__name__} speaks for proxy {message.proxy}")
             case Join(proxy, zone, rate, fresh) if self.zone is None and self.proxy in (None, proxy):
                 if proxy >= self.proxies:
@@ -230,14 +230,14 @@
             while True:
                 data = await self.mailbox.get()
                 order = data is not PONG and self.proxy is not None
-                pace = self.pace(self.proxy) if order and self.proxy is not None else None
-                while pace is not None and self.speaks and (wait := pace.wait(now())) > 0:
+                limiter = self.limiter(self.proxy) if order and self.proxy is not None else None
+                while limiter is not None and self.speaks and (wait := limiter.wait(now())) > 0:
                     await asyncio.sleep(wait)
                 if self.ended:
                     return
                 if not order or self.speaks:
-                    if pace is not None:
-                        pace.wrote(now())
+                    if limiter is not None:
+                        limiter.wrote(now())
                     self.writer.write(data)
                     await self.writer.drain()
                 self.unsent -= len(data)
--- a/tests/test_app.py
+++ b/tests/test_app.py
@@ -6,7 +6,7 @@
 
 from stackwheel.balance import Outbox
 from stackwheel.service.app import on_sockets, silence
-from stackwheel.wire.peer import Pace
+from stackwheel.wire.peer import RateLimiter
 
 
 def test_a_slot_that_comes_early_finds_the_message_of_as_many_cycles_ago_gone() -> None:
@@ -20,14 +20,14 @@
 
 
 def test_the_connection_keeps_the_cap_as_messages_are_written() -> None:
-    pace = Pace(2, 10_000.0)
-    assert [pace.wait(now) for now in (0.0, 5.0)] == [0.0, 0.0]
-    pace.wrote(1.0)
-    pace.wrote(4.0)
-    assert pace.wait(5.0) == 6.0 and pace.wait(11.0) == 0.0
-    pace.wrote(11.0)
-    assert pace.wait(12.0) == 2.0
-    free = Pace(0, 10_000.0)
+    limiter = RateLimiter(2, 10_000.0)
+    assert [limiter.wait(now) for now in (0.0, 5.0)] == [0.0, 0.0]
+    limiter.wrote(1.0)
+    limiter.wrote(4.0)
+    assert limiter.wait(5.0) == 6.0 and limiter.wait(11.0) == 0.0
+    limiter.wrote(11.0)
+    assert limiter.wait(12.0) == 2.0
+    free = RateLimiter(0, 10_000.0)
     for _ in range(100):
         free.wrote(1.0)
     assert free.wait(1.0) == 0.0
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -73,7 +73,7 @@
         await setup.open()
         crowd = [setup.connect(b"") for _ in range(40)]
         most = 0
-        while len(setup.links.strangers) < 40:
+        while len(setup.links.unidentified) < 40:
             most = max(most, setup.links.arriving)
             await asyncio.sleep(0)
         assert 1 <= most <= 3
@@ -93,7 +93,7 @@
         first.sendall(report)
         await until(lambda: len(setup.posted) == 3)
         assert set(setup.posted) == {face.ServerReport(0, digest("s-0"), 2, 0, 5.0, 1000.0)}
-        assert not setup.links.strangers and len(setup.links.collectors[0]) == 2
+        assert not setup.links.unidentified and len(setup.links.collectors[0]) == 2
         third = setup.connect(b"SOURCE site=east\r\n" + report)
         await until(lambda: len(setup.posted) == 4)
         second.setblocking(False)
@@ -128,7 +128,7 @@
 def test_one_deadline_from_accepting_however_much_is_said(monkeypatch: Any, data: bytes) -> None:
     """A sign of life gets its answer and no more time; a drip gets none either."""
     async def work() -> None:
-        monkeypatch.setattr("stackwheel.wire.timing.STRANGER", 150.0)
+        monkeypatch.setattr("stackwheel.wire.timing.IDENTIFY", 150.0)
         monkeypatch.setattr("stackwheel.wire.timing.SWEEP", 10.0)
         setup = Setup()
         await setup.open()
@@ -140,7 +140,7 @@
         assert heard.endswith(b"NACK\r\n")
         assert heard.startswith(b"PONG\r\n") == (data == b"PING\r\n")
         await until(lambda: len(setup.links.peers) == 1)
-        assert len(setup.posted) == 1 and not setup.links.strangers
+        assert len(setup.posted) == 1 and not setup.links.unidentified
         joined.close()
 
     run(work())
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -17,7 +17,7 @@
 from stackwheel.state.module import Ended
 from stackwheel.state.orders import Message, Part
 from stackwheel.state.streams import Stream
-from stackwheel.wire.peer import Pace, Peer
+from stackwheel.wire.peer import Peer, RateLimiter
 
 JOIN = b"SUBSCRIBE id=1 site=east rps=1 new=1\r\n"
 
@@ -46,19 +46,19 @@
         setup = Setup()
         await setup.open()
         cap = setup.links.settings.message_cap
-        pace = setup.links.paces[1] = Pace(cap, 300.0)
+        limiter = setup.links.limiters[1] = RateLimiter(cap, 300.0)
         old_end, old = await joined(setup)
         for mark in range(cap + 3):
             setup.links.deliver([(old, order(mark))])
-        await until(lambda: len(pace.written or ()) == cap)
+        await until(lambda: len(limiter.written or ()) == cap)
         new_end, new = await joined(setup)
         old.superseded()
-        counted = list(pace.written or ())
+        counted = list(limiter.written or ())
         await until(lambda: old.unsent == 0)  # dropped, though their time has come
-        assert list(pace.written or ()) == counted
+        assert list(limiter.written or ()) == counted
         setup.links.deliver([(new, order(99))])
         await until(lambda: new.unsent == 0)
-        assert list(pace.written or ())[-1] > counted[-1]
+        assert list(limiter.written or ())[-1] > counted[-1]
         old_end.close()
         assert b"nonce_out=99" in await asyncio.get_running_loop().run_in_executor(None, new_end.recv, 65536)
         new_end.close()
@@ -75,7 +75,7 @@
         setup.links.deliver([(peer, order(1))])
         peer.end("for the test")  # in the same turn: the writer wakes before the end is seen
         await until(lambda: any(isinstance(item, Ended) for item in setup.posted))
-        assert not setup.links.pace(1).written
+        assert not setup.links.limiter(1).written
         end.close()
 
     run(work())
@@ -91,7 +91,7 @@
         first_end.sendall(JOIN)
         await until(lambda: len(setup.posted) == 3)
         module = _streams(setup)
-        assert module == first and first not in setup.links.strangers and second in setup.links.strangers
+        assert module == first and first not in setup.links.unidentified and second in setup.links.unidentified
         setup.links.deliver([(first, order(5))])
         await until(lambda: first.unsent == 0)
         assert b"nonce_out=5" in await asyncio.get_running_loop().run_in_executor(None, first_end.recv, 65536)
@@ -122,7 +122,7 @@
         def fails(now: float) -> None:
             raise RuntimeError("a defect")
 
-        monkeypatch.setattr(setup.links.pace(1), "wrote", fails)
+        monkeypatch.setattr(setup.links.limiter(1), "wrote", fails)
         setup.links.deliver([(peer, order(1))])
         assert await said(end) == b""
         await until(lambda: not setup.links.peers)
@@ -145,7 +145,7 @@
         await until(lambda: len(setup.links.peers) == 1 and setup.links.arriving == 0)
         end.close()
         await until(lambda: descriptors() <= before)
-        assert not setup.links.strangers
+        assert not setup.links.unidentified
 
     run(work())
 
