Tests: a process that a failing test started is ended all the same

Cause: a play of the tests with one fix taken out left a planner running, as the process was ended by the last line of the test alone.

--- a/tests/planner.py
+++ b/tests/planner.py
@@ -117,6 +117,19 @@
         env={**os.environ, "ROUTER_CONFIG": str(path), **environment})
 
 
+@contextlib.asynccontextmanager
+async def started(found: dict[str, Any], folder: Path, discovery: Discovery,
+                  command: tuple[str, ...]) -> AsyncIterator[PlannerProcess]:
+    """A process from its first moment on; ended whatever happens."""
+    process = await start(found, folder, command)
+    try:
+        yield PlannerProcess(process, found, discovery)
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
 def send(process: asyncio.subprocess.Process, number: int) -> None:
     """The process's own method asks first whether it has ended, and takes its exit code from asyncio: 255 is seen."""
     with contextlib.suppress(ProcessLookupError):
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -3,12 +3,13 @@
 import asyncio
 import json
 import signal
+import sys
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
-from planner import MOST, PlannerProcess, full, run, run_line, running, send, signals, start
+from planner import MOST, PlannerProcess, full, run, run_line, running, send, signals, started
 from standins import Discovery, config, free_port
 
 from stackwheel.service.config import read_config
@@ -153,13 +154,13 @@
     async def work() -> None:
         discovery = Discovery()
         await discovery.start()
-        process = await start(config(discovery.address), tmp_path)
-        await signals(process, "SigBlk", signal.SIGHUP)
-        send(process, signal.SIGHUP)
-        planner = PlannerProcess(process, json.loads((tmp_path / "config.json").read_text()), discovery)
-        await planner.ready()
-        code, log = await planner.stop()
-        assert code == 0 and "configuration reloaded; changed: nothing" in log
+        command = sys.executable, "-m", "stackwheel"
+        async with started(config(discovery.address), tmp_path, discovery, command) as planner:
+            await signals(planner.process, "SigBlk", signal.SIGHUP)
+            send(planner.process, signal.SIGHUP)
+            await planner.ready()
+            code, log = await planner.stop()
+            assert code == 0 and "configuration reloaded; changed: nothing" in log
 
     run(work())
 
@@ -169,16 +170,15 @@
     async def work() -> None:
         discovery = Discovery()
         await discovery.start()
-        process = await start(config(discovery.address), tmp_path, run_line())
-        await asyncio.wait_for(signals(process, "SigIgn", signal.SIGHUP), MOST)
-        planner = PlannerProcess(process, json.loads((tmp_path / "config.json").read_text()), discovery)
-        ready = asyncio.create_task(planner.ready())
-        while not ready.done():
-            send(process, signal.SIGHUP)
-            await asyncio.sleep(0.001)
-        await ready
-        code, log = await planner.stop()
-        assert code == 0 and "Traceback" not in log and "configuration reloaded; changed: nothing" in log
+        async with started(config(discovery.address), tmp_path, discovery, run_line()) as planner:
+            await asyncio.wait_for(signals(planner.process, "SigIgn", signal.SIGHUP), MOST)
+            ready = asyncio.create_task(planner.ready())
+            while not ready.done():
+                send(planner.process, signal.SIGHUP)
+                await asyncio.sleep(0.001)
+            await ready
+            code, log = await planner.stop()
+            assert code == 0 and "Traceback" not in log and "configuration reloaded; changed: nothing" in log
 
     run(work())
 
@@ -209,22 +209,21 @@
         discovery = Discovery()
         await discovery.start()
         discovery.troubles = ["silence"] * 3 if moment == "discovery silent" else []
-        process = await start(config(discovery.address), tmp_path, run_line())
-        planner = PlannerProcess(process, json.loads((tmp_path / "config.json").read_text()), discovery)
-        await signals(process, "SigCgt", signal.SIGTERM)
-        if moment != "first line":
-            await planner.ready()
-        if moment == "crowd":
-            crowd = [await planner.connect() for _ in range(60)]
-            for number, connection in enumerate(crowd):
-                connection.say(f"SUBSCRIBE id={number % 8} site=east rps=5 new=0")
-        if moment == "reload":
-            send(process, signal.SIGHUP)
-        send(process, signal.SIGTERM)
-        if moment == "twice":
-            send(process, signal.SIGTERM)
-        code, log = await planner.stop()
-        assert code == 0 and "Traceback" not in log
+        async with started(config(discovery.address), tmp_path, discovery, run_line()) as planner:
+            await signals(planner.process, "SigCgt", signal.SIGTERM)
+            if moment != "first line":
+                await planner.ready()
+            if moment == "crowd":
+                crowd = [await planner.connect() for _ in range(60)]
+                for number, connection in enumerate(crowd):
+                    connection.say(f"SUBSCRIBE id={number % 8} site=east rps=5 new=0")
+            if moment == "reload":
+                send(planner.process, signal.SIGHUP)
+            send(planner.process, signal.SIGTERM)
+            if moment == "twice":
+                send(planner.process, signal.SIGTERM)
+            code, log = await planner.stop()
+            assert code == 0 and "Traceback" not in log
 
     run(work())
 
