Classes are placed by their aims, then their worth, in place of all together

Now the shortest aim is placed first, then the least worth; only classes alike in both are placed together. So settings still decide by what they say, not by their order, and tests/test_names.py holds.

--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -434,7 +434,7 @@
         joined = len(self.proxies) + sum(proxies for _, proxies, _ in heard)
         self.part = part * min(1.0, joined / self.settings.proxies)  # the unheard count as their average
         present = {s: v.capacity * self.warmth(v) for s, v in self.servers.items()}
-        choice = {place: len(self.open_to(place)) for place in self.places}  # the least first, equals alike
+        rank = {p: (len(self.open_to(p)), c.aim, c.worth) for p, c in enumerate(self.settings.classes)}
         keys = [(zone, place) for place in self.places for zone in sorted(self.groups)]
         pull = {key: self.attraction(*key) for key in keys}
         left = {(zone, place): max(1e-3, self.demand(zone)[place]) for zone, place in keys}
@@ -442,9 +442,9 @@
         for use in USES:
             used = {s: sum(rates.get(s, 0.0) for rates in placed.values()) for s in self.servers}
             room = {s: max(0.0, self.room(v, present[s], use) - used[s]) for s, v in self.servers.items()}
-            for count in sorted(set(choice.values())):
+            for first in sorted(set(rank.values())):  # least choice, then least time; equals together
                 for _ in range(ROUNDS):
-                    if mine := [key for key in keys if choice[key[1]] == count and left[key] > PLACED]:
+                    if mine := [key for key in keys if rank[key[1]] == first and left[key] > PLACED]:
                         fill(mine, left, pull, room, placed)
         for key in keys:  # all demand is placed: the excess spreads by capacity, over warm servers if any
             able = [s for s in placed[key] if self.sound(self.servers[s])]
