--- a/examples/toy_proxy.py
+++ b/examples/toy_proxy.py
@@ -1,6 +1,6 @@
 """A toy proxy: joins a planner, reports a little demand each second, and prints what it is ordered.
 
-    python examples/toy_proxy.py --id 0 --zone east
+python examples/toy_proxy.py --id 0 --zone east
 """
 
 from __future__ import annotations
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -1,7 +1,7 @@
 """A toy deployment to try the planner with: discovery, and servers that answer probes.
 
-    python examples/toy_server.py            # discovery on 127.0.0.1:8500, three servers
-    python examples/toy_server.py --drain 10 # the first server drains after ten seconds, and is gone later
+python examples/toy_server.py            # discovery on 127.0.0.1:8500, three servers
+python examples/toy_server.py --drain 10 # the first server drains after ten seconds, and is gone later
 """
 
 from __future__ import annotations
@@ -28,8 +28,16 @@
         self.changed = asyncio.Condition()
 
     def add(self, name: str, address: str, zone: str, kind: str = "small") -> None:
-        self.instances[name] = {"instanceId": name, "hostPort": address, "zone": zone, "machineType": kind,
-                                "cell": 0, "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0}
+        self.instances[name] = {
+            "instanceId": name,
+            "hostPort": address,
+            "zone": zone,
+            "machineType": kind,
+            "cell": 0,
+            "lifecycle": "in_service",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
 
     async def update(self, name: str, **news: Any) -> None:
         """Change an entry, and tell all who watch."""
--- a/stackwheel/cli/config.py
+++ b/stackwheel/cli/config.py
@@ -51,8 +51,9 @@
         click.echo(found, err=True)
         return 1
     if as_json:
-        click.echo(json.dumps({"values": values(found.tree),
-                               "origins": {path: origin for path, _, origin in found.origins()}}))
+        click.echo(
+            json.dumps({"values": values(found.tree), "origins": {path: origin for path, _, origin in found.origins()}})
+        )
         return 0
     for path, value, origin in found.origins():
         click.echo(f"{path}: {shown(value)}    // {origin}")
--- a/stackwheel/cli/files.py
+++ b/stackwheel/cli/files.py
@@ -82,15 +82,19 @@
 
 def told(document: Document) -> list[str]:
     if not isinstance(document, Orders):
-        return [f"answer {document.sequence} of proxy {document.proxy} in {document.zone}: applied "
-                f"{document.applied} of {document.planner or 'nobody'}, {len(document.came)} classes, "
-                f"{len(document.met)} servers met"]
+        return [
+            f"answer {document.sequence} of proxy {document.proxy} in {document.zone}: applied "
+            f"{document.applied} of {document.planner or 'nobody'}, {len(document.came)} classes, "
+            f"{len(document.met)} servers met"
+        ]
     what = "whole file" if document.whole else f"change {document.sequence} on whole file {document.base}"
     whom = "all" if document.proxy is None else f"proxy {document.proxy}"
     life = document.incarnation
-    lines = [f"{what} {document.sequence if document.whole else ''}".rstrip() + f" of {document.planner}, life "
-             f"{life.epoch}.{life.started}.{life.salt}, for {whom} in {document.zone}, usable for "
-             f"{(document.until - document.made) / 1000.0:g} s from {document.made / 1000.0:.3f}"]
+    lines = [
+        f"{what} {document.sequence if document.whole else ''}".rstrip() + f" of {document.planner}, life "
+        f"{life.epoch}.{life.started}.{life.salt}, for {whom} in {document.zone}, usable for "
+        f"{(document.until - document.made) / 1000.0:g} s from {document.made / 1000.0:.3f}"
+    ]
     for table in document.tables:
         level = "" if table.level is None else f", level {table.level.admit:g}, policy {table.level.policy}"
         lines.append(f"  {table.route}: {len(table.lines)} lines{level}")
@@ -114,8 +118,11 @@
             raise click.UsageError(f"{path}: {document if isinstance(document, Refusal) else 'no file of orders'}")
         found.append(document)
     rows = differences(*found)
-    click.echo(json.dumps(rows) if as_json else "\n".join(
-        f"{row['what']}: {row['old']} -> {row['new']}" for row in rows) or "no difference")
+    click.echo(
+        json.dumps(rows)
+        if as_json
+        else "\n".join(f"{row['what']}: {row['old']} -> {row['new']}" for row in rows) or "no difference"
+    )
     return 1 if rows else 0
 
 
@@ -164,19 +171,37 @@
 
 def place_options(command: Any) -> Any:
     for option in (
-            click.argument("folders", nargs=-1, required=True, type=click.Path(file_okay=False)),
-            click.option("--zone", required=True, help="The reader's zone."),
-            click.option("--proxy", type=click.IntRange(0, 65535), default=0, show_default=True, help="Its number."),
-            click.option("--state", type=click.Path(file_okay=False), help="Where it remembers what it applied."),
-            key_file, click.option("--poll", type=click.FloatRange(0.05, 60), default=1.0, show_default=True,
-                                   help="s between looks where nothing is told."),
-            click.option("--once", is_flag=True, help="Look once; exit 1 where something was refused."), as_json_flag):
+        click.argument("folders", nargs=-1, required=True, type=click.Path(file_okay=False)),
+        click.option("--zone", required=True, help="The reader's zone."),
+        click.option("--proxy", type=click.IntRange(0, 65535), default=0, show_default=True, help="Its number."),
+        click.option("--state", type=click.Path(file_okay=False), help="Where it remembers what it applied."),
+        key_file,
+        click.option(
+            "--poll",
+            type=click.FloatRange(0.05, 60),
+            default=1.0,
+            show_default=True,
+            help="s between looks where nothing is told.",
+        ),
+        click.option("--once", is_flag=True, help="Look once; exit 1 where something was refused."),
+        as_json_flag,
+    ):
         command = option(command)
     return command
 
 
-def run_server(folders: tuple[str, ...], zone: str, proxy: int, state: str | None, keys: KeyRing, poll: float,
-               once: bool, as_json: bool, answers: str, sinks: Any) -> int:
+def run_server(
+    folders: tuple[str, ...],
+    zone: str,
+    proxy: int,
+    state: str | None,
+    keys: KeyRing,
+    poll: float,
+    once: bool,
+    as_json: bool,
+    answers: str,
+    sinks: Any,
+) -> int:
     import asyncio
     import contextlib
     import tempfile
@@ -204,8 +229,16 @@
 
 @files.command()
 @place_options
-def follow(folders: tuple[str, ...], zone: str, proxy: int, state: str | None, keys: KeyRing, poll: float, once: bool,
-           as_json: bool) -> int:
+def follow(
+    folders: tuple[str, ...],
+    zone: str,
+    proxy: int,
+    state: str | None,
+    keys: KeyRing,
+    poll: float,
+    once: bool,
+    as_json: bool,
+) -> int:
     """Tell what a reader of folders would apply and refuse, as it happens."""
     from stackwheel.files.serve import Sinks
 
@@ -217,8 +250,19 @@
 @click.option("--answers", type=click.Path(file_okay=False), default="", help="Where its answers go.")
 @click.option("--out", type=click.Path(dir_okay=False), default="", help="A file that holds what is in force, as JSON.")
 @click.option("--command", default="", help="Run by the shell at each change, with the same on its standard input.")
-def serve(folders: tuple[str, ...], zone: str, proxy: int, state: str | None, keys: KeyRing, poll: float, once: bool,
-          as_json: bool, answers: str, out: str, command: str) -> int:
+def serve(
+    folders: tuple[str, ...],
+    zone: str,
+    proxy: int,
+    state: str | None,
+    keys: KeyRing,
+    poll: float,
+    once: bool,
+    as_json: bool,
+    answers: str,
+    out: str,
+    command: str,
+) -> int:
     """Read folders for a forwarder that can't itself: what is in force goes to a file and a command."""
     from stackwheel.files.serve import Sinks
 
--- a/stackwheel/cli/trial.py
+++ b/stackwheel/cli/trial.py
@@ -69,8 +69,15 @@
 
 
 def progress(console: Console, off: bool) -> Progress:
-    return Progress(TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn(),
-                    console=console, disable=off, transient=True)
+    return Progress(
+        TextColumn("{task.description}"),
+        BarColumn(),
+        MofNCompleteColumn(),
+        TimeRemainingColumn(),
+        console=console,
+        disable=off,
+        transient=True,
+    )
 
 
 @trial.command("run")
@@ -112,10 +119,12 @@
         for rule, results in by_rule(summary.broken).items():
             console.print(f"{rule.value}: {len(results)} seeds, the first {results[0].seed}")
     rate = summary.seeds / max(1e-9, summary.seconds)
-    console.print(f"{'stopped after ' if stopped else ''}{summary.seeds} seeds, {len(summary.broken)} broken; "
-                  f"{summary.virtual_seconds:.0f} virtual s in {summary.seconds:.1f} s on {jobs} processes: "
-                  f"{rate:.1f} seeds/s, {summary.virtual_seconds / max(1e-9, summary.cpu):.0f} virtual s a core "
-                  f"second; mean service {summary.service:.3f}; digest {summary.hasher.hexdigest()}")
+    console.print(
+        f"{'stopped after ' if stopped else ''}{summary.seeds} seeds, {len(summary.broken)} broken; "
+        f"{summary.virtual_seconds:.0f} virtual s in {summary.seconds:.1f} s on {jobs} processes: "
+        f"{rate:.1f} seeds/s, {summary.virtual_seconds / max(1e-9, summary.cpu):.0f} virtual s a core "
+        f"second; mean service {summary.service:.3f}; digest {summary.hasher.hexdigest()}"
+    )
 
 
 @trial.command()
@@ -130,25 +139,38 @@
     with planted(named(defect)):
         found = run_script(script, trace=click.echo if trace else None)
     if as_json:
-        print(json.dumps({"digest": found.digest, "broken": [
-            {"seed": script.seed, "rule": v.rule.value, "at": round(v.at / 1000.0, 3)} for v in found.verdicts],
-            "service": round(found.service, 4), "virtual_seconds": found.virtual_seconds}))
+        print(
+            json.dumps(
+                {
+                    "digest": found.digest,
+                    "broken": [
+                        {"seed": script.seed, "rule": v.rule.value, "at": round(v.at / 1000.0, 3)}
+                        for v in found.verdicts
+                    ],
+                    "service": round(found.service, 4),
+                    "virtual_seconds": found.virtual_seconds,
+                }
+            )
+        )
     else:
         for verdict in found.verdicts:
             click.echo(str(verdict))
             for line in verdict.trail:
                 click.echo(f"    {line}")
         figures = ", ".join(f"{name.replace('_', ' ')} {value:g}" for name, value in found.figures.items())
-        click.echo(f"{len(found.verdicts)} verdicts; {found.requests} requests, service {found.service:.3f}, "
-                   f"{found.steps} steps; {figures}; digest {found.digest}")
+        click.echo(
+            f"{len(found.verdicts)} verdicts; {found.requests} requests, service {found.service:.3f}, "
+            f"{found.steps} steps; {figures}; digest {found.digest}"
+        )
     return 1 if found.verdicts else 0
 
 
 @trial.command()
 @click.argument("what", metavar="SEED|FILE")
 @click.option("--out", type=click.Path(dir_okay=False, path_type=Path), required=True, help="Where the script goes.")
-@click.option("--rule", type=click.Choice([r.name.lower() for r in Rule]),
-              help="The rule; the first broken if not given.")
+@click.option(
+    "--rule", type=click.Choice([r.name.lower() for r in Rule]), help="The rule; the first broken if not given."
+)
 @click.option("--runs", type=click.IntRange(1, 100_000), default=RUNS_MOST, show_default=True, help="Trials at most.")
 @click.option("--defect", type=click.Choice([d.name for d in ALL_DEFECTS]), help="With a deliberate defect planted.")
 @files_flag
@@ -191,8 +213,16 @@
     chosen = [d for d in ALL_DEFECTS if not only or d.name in only]
     rows = []
     for defect, found in zip(chosen, search_all([d.name for d in chosen], seeds, jobs), strict=True):
-        rows.append({"defect": defect.name, "where": defect.where, "what": defect.what, "seeds": found.needed,
-                     "seed": found.seed, "rule": found.rule.value if found.rule is not None else None})
+        rows.append(
+            {
+                "defect": defect.name,
+                "where": defect.where,
+                "what": defect.what,
+                "seeds": found.needed,
+                "seed": found.seed,
+                "rule": found.rule.value if found.rule is not None else None,
+            }
+        )
         if not as_json:
             told = found.rule.value if found.rule is not None else "NOT FOUND"
             click.echo(f"{defect.name:26} {defect.where:16} {found.needed:>5} {found.seed:>6}  {told}")
@@ -210,9 +240,11 @@
     for row in sizes.measure(span):
         rows.append(row)
         if not as_json:
-            click.echo(f"{row.proxies:4} proxies {row.servers:4} servers {row.planners} planners: "
-                       f"{row.cpu_a_second * 1000:8.1f} ms a virtual second, {row.steps_a_second:8.0f} steps, "
-                       f"{row.requests_a_second:6.0f} requests, checks {row.checks_share:.1%}, "
-                       f"{row.verdicts} verdicts, {row.memory_mb:.0f} MB")
+            click.echo(
+                f"{row.proxies:4} proxies {row.servers:4} servers {row.planners} planners: "
+                f"{row.cpu_a_second * 1000:8.1f} ms a virtual second, {row.steps_a_second:8.0f} steps, "
+                f"{row.requests_a_second:6.0f} requests, checks {row.checks_share:.1%}, "
+                f"{row.verdicts} verdicts, {row.memory_mb:.0f} MB"
+            )
     if as_json:
         print(json.dumps([row.document() for row in rows]))
--- a/stackwheel/files/accept.py
+++ b/stackwheel/files/accept.py
@@ -78,13 +78,17 @@
 
 def content_of(whole: Orders, change: Orders | None = None) -> Content:
     """Tables of a whole file, and of a change on it."""
-    found = Content({t.route: {s: w for s, w in t.lines.items() if w > 0} for t in whole.tables},
-                    {t.route: t.level for t in whole.tables}, whole.withdrawn)
+    found = Content(
+        {t.route: {s: w for s, w in t.lines.items() if w > 0} for t in whole.tables},
+        {t.route: t.level for t in whole.tables},
+        whole.withdrawn,
+    )
     for table in change.tables if change is not None else ():
         lines = {} if table.whole else found.tables.get(table.route, {})
         found.tables[table.route] = {s: w for s, w in {**lines, **table.lines}.items() if w > 0}
-        found.levels[table.route] = table.level if table.level is not None or table.whole else (
-            found.levels.get(table.route))
+        found.levels[table.route] = (
+            table.level if table.level is not None or table.whole else (found.levels.get(table.route))
+        )
     if change is not None:
         found.withdrawn = change.withdrawn
     return found
@@ -137,10 +141,13 @@
             content = content_of(whole, orders)
         else:
             whole, content = orders, content_of(orders)
-        news = tuple(b for b in orders.bookings if b.id not in self.memory.bookings and b.until > now
-                     and b.made >= self.memory.since)
+        news = tuple(
+            b
+            for b in orders.bookings
+            if b.id not in self.memory.bookings and b.until > now and b.made >= self.memory.since
+        )
         if len(self.memory.bookings) + len(news) > BOOKINGS_MOST:
-            news = news[:max(0, BOOKINGS_MOST - len(self.memory.bookings))]
+            news = news[: max(0, BOOKINGS_MOST - len(self.memory.bookings))]
         return Accepted(Held(orders, whole, content), news)
 
     def base_of(self, orders: Orders, held: Held | None) -> Orders | Refusal:
@@ -159,7 +166,7 @@
         self.held[key] = accepted.held
         marks = {k: m for k, m in self.memory.marks.items() if k != key and m.at > now - MARKS_LIFE}
         marks[key] = Mark(orders.incarnation, orders.sequence, orders.until, now)
-        for gone in list(marks)[:max(0, len(marks) - PLANNERS_MOST)]:
+        for gone in list(marks)[: max(0, len(marks) - PLANNERS_MOST)]:
             del marks[gone]
             self.held.pop(gone, None)
         bookings = {name: until for name, until in self.memory.bookings.items() if until > now}
--- a/stackwheel/files/codec.py
+++ b/stackwheel/files/codec.py
@@ -19,8 +19,10 @@
 
 MAGIC = b"stackwheel-table"
 SIZE_MOST = 16 << 20  # bytes of a file: 10,000 lines for each of 8 classes take 4 MiB
-TRAILER = re.compile(rb"\nend length=([0-9]{1,10}) blake2b=([0-9a-f]{64})(?: key=([A-Za-z0-9._-]{1,64}) "
-                     rb"hmac-sha256=([0-9a-f]{64}))?\n\Z")
+TRAILER = re.compile(
+    rb"\nend length=([0-9]{1,10}) blake2b=([0-9a-f]{64})(?: key=([A-Za-z0-9._-]{1,64}) "
+    rb"hmac-sha256=([0-9a-f]{64}))?\n\Z"
+)
 TRAILER_MOST = 300
 KEY_LEAST = 16  # bytes of a key
 
@@ -115,7 +117,7 @@
     found = TRAILER.search(data, max(0, len(data) - TRAILER_MOST))
     if found is None:
         return Refusal(Stage.TRAILER, "no trailer: half written, or no table file" if data else "empty")
-    head = data[:found.start()]
+    head = data[: found.start()]
     if int(found[1]) != len(head):
         return Refusal(Stage.LENGTH, f"{len(head)} bytes before the trailer, which says {int(found[1])}")
     if not hmac.compare_digest(hashlib.blake2b(head, digest_size=32).hexdigest().encode(), found[2]):
@@ -129,7 +131,7 @@
         name = found[3].decode()
         if name not in keys.keys:
             return Refusal(Stage.KEY, f"signed with key {name!r}, which is not valid")
-        signed = data[:data.rindex(b" key=", found.start())]
+        signed = data[: data.rindex(b" key=", found.start())]
         if not hmac.compare_digest(hmac.digest(keys.keys[name], signed, "sha256").hex().encode(), found[4]):
             return Refusal(Stage.SIGNATURE, f"the signature is not of key {name!r}")
     return body
--- a/stackwheel/files/desk.py
+++ b/stackwheel/files/desk.py
@@ -35,9 +35,18 @@
 
 
 class FileDesk:
-    def __init__(self, ledger: Ledger, pusher: Pusher, folders: Folders, disk: Disk, now: Callable[[], float],
-                 post: Callable[[Item], None], keys: KeyRing = NO_KEYS, aside: Aside = asyncio.to_thread,
-                 look: float = LOOK) -> None:
+    def __init__(
+        self,
+        ledger: Ledger,
+        pusher: Pusher,
+        folders: Folders,
+        disk: Disk,
+        now: Callable[[], float],
+        post: Callable[[Item], None],
+        keys: KeyRing = NO_KEYS,
+        aside: Aside = asyncio.to_thread,
+        look: float = LOOK,
+    ) -> None:
         self.ledger, self.pusher, self.folders, self.disk = ledger, pusher, folders, disk
         self.now, self.post, self.keys, self.aside, self.look = now, post, keys, aside, look
         self.woken = asyncio.Event()
@@ -54,8 +63,14 @@
         """Begin a life above all former ones that can be seen, then write and read until cancelled."""
         seen = await self.aside(self.former_lives)
         life = self.ledger.begin(self.now(), seen)
-        logger.info("files: life {}.{}.{} of {}, {} former ones seen", life.epoch, life.started, life.salt,
-                    self.ledger.planner, len(seen))
+        logger.info(
+            "files: life {}.{}.{} of {}, {} former ones seen",
+            life.epoch,
+            life.started,
+            life.salt,
+            self.ledger.planner,
+            len(seen),
+        )
         looking = asyncio.create_task(self.read_answers())
         try:
             while True:
@@ -113,8 +128,11 @@
             for name in names_of(self.disk, folder):
                 data = read_file(self.disk, folder, name)
                 found = decode(data, self.keys) if isinstance(data, bytes) else data
-                if isinstance(found, Orders | Answer) and found.planner == self.ledger.planner and (
-                        found.incarnation is not None):
+                if (
+                    isinstance(found, Orders | Answer)
+                    and found.planner == self.ledger.planner
+                    and (found.incarnation is not None)
+                ):
                     seen.append(found.incarnation)
         return seen
 
@@ -142,8 +160,9 @@
     def take(self, name: str, data: bytes) -> None:
         found = decode(data, self.keys)
         if not isinstance(found, Answer):
-            logger.warning("files: answer {} not taken: {}", name[:60],
-                           found if isinstance(found, Refusal) else "no answer")
+            logger.warning(
+                "files: answer {} not taken: {}", name[:60], found if isinstance(found, Refusal) else "no answer"
+            )
             return
         for item in self.ledger.answer(found, self.now()):
             self.post(item)
--- a/stackwheel/files/disk.py
+++ b/stackwheel/files/disk.py
@@ -148,8 +148,13 @@
 
 def safe_name(name: str) -> bool:
     """Whether a file's name stays in its folder and is no half-written file."""
-    return (name.endswith(SUFFIX) and not name.startswith(".") and len(name) <= NAME_MOST
-            and PurePosixPath(name).name == name and "\x00" not in name)
+    return (
+        name.endswith(SUFFIX)
+        and not name.startswith(".")
+        and len(name) <= NAME_MOST
+        and PurePosixPath(name).name == name
+        and "\x00" not in name
+    )
 
 
 def read_file(disk: Disk, folder: str, name: str) -> bytes | Refusal:
--- a/stackwheel/files/keys.py
+++ b/stackwheel/files/keys.py
@@ -17,10 +17,10 @@
 def load_keys(path: Path) -> KeyRing:
     """The keys of a file such as
 
-        signing = "k2"
-        [keys]
-        k1 = "6f1d..."
-        k2 = "90aa..."
+    signing = "k2"
+    [keys]
+    k1 = "6f1d..."
+    k2 = "90aa..."
     """
     try:
         data = path.read_bytes()
--- a/stackwheel/files/ledger.py
+++ b/stackwheel/files/ledger.py
@@ -76,8 +76,9 @@
 
 
 class Ledger:
-    def __init__(self, planner: str, names: Names, proxies: int, terms: Terms,
-                 name_of: Callable[[Server], str | None], salt: int) -> None:
+    def __init__(
+        self, planner: str, names: Names, proxies: int, terms: Terms, name_of: Callable[[Server], str | None], salt: int
+    ) -> None:
         self.planner, self.names, self.proxies, self.terms = planner, names, proxies, terms
         self.name_of, self.salt = name_of, salt
         self.incarnation: Incarnation | None = None
@@ -173,8 +174,9 @@
                 groups.append((member.content, 1))
         return max(groups, key=lambda group: group[1])[0]
 
-    def write(self, zone: str, proxy: int | None, content: Content, members: list[Forwarder],
-              now: float) -> Iterator[Orders]:
+    def write(
+        self, zone: str, proxy: int | None, content: Content, members: list[Forwarder], now: float
+    ) -> Iterator[Orders]:
         target = self.targets.setdefault((zone, proxy), Target(zone, proxy))
         waiting = any(number is None for m in members for number in m.marks.values())
         aged = now >= target.made + self.terms.life / 2
@@ -193,16 +195,32 @@
         bookings = tuple(b for b in self.bookings.values() if b.until > now)
         whole = target.whole
         change = whole is not None and target.since_whole < self.terms.whole_every
-        tables = difference(whole, content) if change and whole is not None else tuple(
-            Table(route, dict(sorted(lines.items())), content.levels.get(route))
-            for route, lines in sorted(content.tables.items()))
-        orders = Orders(self.planner, self.incarnation, target.sequence, now, now + self.terms.life, target.zone,
-                        target.proxy, whole.sequence if change and whole is not None else None, tables,
-                        content.withdrawn, bookings)
+        tables = (
+            difference(whole, content)
+            if change and whole is not None
+            else tuple(
+                Table(route, dict(sorted(lines.items())), content.levels.get(route))
+                for route, lines in sorted(content.tables.items())
+            )
+        )
+        orders = Orders(
+            self.planner,
+            self.incarnation,
+            target.sequence,
+            now,
+            now + self.terms.life,
+            target.zone,
+            target.proxy,
+            whole.sequence if change and whole is not None else None,
+            tables,
+            content.withdrawn,
+            bookings,
+        )
         target.since_whole = target.since_whole + 1 if change else 0
         target.whole = whole if change else orders
-        target.content = Content({r: dict(lines) for r, lines in content.tables.items()}, dict(content.levels),
-                                 content.withdrawn)
+        target.content = Content(
+            {r: dict(lines) for r, lines in content.tables.items()}, dict(content.levels), content.withdrawn
+        )
         target.made = now
         return orders
 
@@ -223,14 +241,18 @@
             return
         if known is None or answer.life != known.life:
             known = self.forwarders[answer.proxy] = Forwarder(
-                answer.proxy, answer.zone, FileLine(answer.proxy), answer.life, answer.sequence, now)
+                answer.proxy, answer.zone, FileLine(answer.proxy), answer.life, answer.sequence, now
+            )
             yield Stream(answer.proxy, self.names.zones.index(answer.zone), answer.rate, answer.fresh, known.line)
         known.sequence, known.heard = answer.sequence, now
         yield Said(known.proxy, None, known.line)  # it lives
         if answer.planner == self.planner and answer.incarnation == self.incarnation:
             yield from self.confirmed(known, answer)
-        elif answer.planner == self.planner and answer.incarnation is not None and (
-                self.incarnation is not None and answer.incarnation > self.incarnation):
+        elif (
+            answer.planner == self.planner
+            and answer.incarnation is not None
+            and (self.incarnation is not None and answer.incarnation > self.incarnation)
+        ):
             self.begin(now, [answer.incarnation])  # a former life of ours is later than this one: be later still
         yield from self.reports(known, answer)
 
--- a/stackwheel/files/measure.py
+++ b/stackwheel/files/measure.py
@@ -53,8 +53,9 @@
     """A whole file for so many servers, and a change on it in which a tenth moved."""
     life, now = Incarnation(0, 1, 1), 1e12
     lines = {f"s-{n:08x}": 1.0 + n / servers for n in range(servers)}
-    whole = Orders("n0", life, 1, now, now + 3e4, "east",
-                   tables=tuple(Table(name, lines, Level(1.0, 1)) for name in CLASSES))
+    whole = Orders(
+        "n0", life, 1, now, now + 3e4, "east", tables=tuple(Table(name, lines, Level(1.0, 1)) for name in CLASSES)
+    )
     moved = {s: w * 2 if at < MOVED * servers else w for at, (s, w) in enumerate(lines.items())}
     content = Content(dict.fromkeys(CLASSES, moved), dict.fromkeys(CLASSES, Level(1.0, 1)))
     change = Orders("n0", life, 2, now, now + 3e4, "east", base=1, tables=difference(whole, content))
@@ -73,8 +74,12 @@
 
 def disk_rows(folder: Path) -> Iterator[Row]:
     data = encode(orders_of(150)[0], KEYS)
-    yield Row("swaps, one after the other", f"{len(data)} bytes", rate(
-        lambda: swap(SystemDisk(), str(folder), "x.table", data)), "a second")
+    yield Row(
+        "swaps, one after the other",
+        f"{len(data)} bytes",
+        rate(lambda: swap(SystemDisk(), str(folder), "x.table", data)),
+        "a second",
+    )
     for forwarders in FORWARDERS:
         places = [folder / f"proxy-{n}" for n in range(forwarders)]
         for place in places:
@@ -120,10 +125,22 @@
         ids.learn(f"s-{number}")
     ledger = Ledger("n0", Names(CLASSES, ("east",), ("k",), ()), 4, Terms(3e4, 20, 1e6), ids.name, 1)
     posted: list[Item] = []
-    desk = FileDesk(ledger, Pusher(Pace(), 1), Folders(str(folder / "out"), str(folder / "answers")), disk, unix,
-                    posted.append, KEYS, look=0.05)
-    reader = Reader(Place("east", 0, (str(folder / "out/zone-east"),), str(folder / "answers"), str(folder / "state")),
-                    SystemDisk(), unix, lambda: KEYS)
+    desk = FileDesk(
+        ledger,
+        Pusher(Pace(), 1),
+        Folders(str(folder / "out"), str(folder / "answers")),
+        disk,
+        unix,
+        posted.append,
+        KEYS,
+        look=0.05,
+    )
+    reader = Reader(
+        Place("east", 0, (str(folder / "out/zone-east"),), str(folder / "answers"), str(folder / "state")),
+        SystemDisk(),
+        unix,
+        lambda: KEYS,
+    )
     return desk, reader
 
 
@@ -140,8 +157,9 @@
     for number in range(rounds):
         lines = tuple((digest(f"s-{n}"), 1.0 + number + n) for n in range(servers))
         began = time.perf_counter()
-        desk.deliver([(line, Message(0, (Part(tuple(range(len(CLASSES))), number == 0, lines, (
-            1.0, Retry.ONCE_IF_UNTRIED)),)))])
+        desk.deliver(
+            [(line, Message(0, (Part(tuple(range(len(CLASSES))), number == 0, lines, (1.0, Retry.ONCE_IF_UNTRIED)),)))]
+        )
         while not await reader.look():
             await asyncio.sleep(0.001)
         took.append((time.perf_counter() - began) * 1000.0)
--- a/stackwheel/files/memory.py
+++ b/stackwheel/files/memory.py
@@ -37,5 +37,3 @@
         return disk.names(folder)
     except OSError:
         return []
-
-
--- a/stackwheel/files/prevail.py
+++ b/stackwheel/files/prevail.py
@@ -119,9 +119,9 @@
                 del self.out[server]
         for lines in content.tables.values():
             self.known.update(dict.fromkeys(lines))
-        for server in list(self.out)[:max(0, len(self.out) - OUT_MOST)]:
+        for server in list(self.out)[: max(0, len(self.out) - OUT_MOST)]:
             del self.out[server]
-        for server in list(self.known)[:max(0, len(self.known) - OUT_MOST)]:
+        for server in list(self.known)[: max(0, len(self.known) - OUT_MOST)]:
             del self.known[server]
 
     # what follows
@@ -138,8 +138,10 @@
                 last = max(newer.values(), key=lambda held: (held.orders.made, held.orders.planner))
                 self.chosen = last.orders.planner
             # a planner says the same to all of a zone or something else to one: its newest word holds
-            held = max((one for one in newer.values() if one.orders.planner == self.chosen),
-                       key=lambda one: (one.orders.incarnation, one.orders.made, one.orders.proxy is not None))
+            held = max(
+                (one for one in newer.values() if one.orders.planner == self.chosen),
+                key=lambda one: (one.orders.incarnation, one.orders.made, one.orders.proxy is not None),
+            )
             return self.usable(Source.FILE, held.orders.planner, held.content, held.orders.until)
         candidates = [(held.orders.until, held.orders.planner, held.content) for held in self.files.values()]
         if stream.content is not None:
--- a/stackwheel/files/push.py
+++ b/stackwheel/files/push.py
@@ -88,11 +88,14 @@
         for target in self.targets.values():
             if target.begun is not None and now - target.begun >= STUCK:  # its thread hangs: the slot is not lost
                 self.fail(target, now)
-        ready = [name for name, target in self.targets.items()
-                 if target.waiting is not None and target.begun is None and self.due(name, now) <= now]
+        ready = [
+            name
+            for name, target in self.targets.items()
+            if target.waiting is not None and target.begun is None and self.due(name, now) <= now
+        ]
         ready.sort(key=lambda name: self.targets[name].asked_at)
         found: list[Attempt] = []
-        for name in ready[:max(0, self.most - self.under_way)]:
+        for name in ready[: max(0, self.most - self.under_way)]:
             target = self.targets[name]
             assert target.waiting is not None
             target.begun = now
@@ -133,7 +136,10 @@
 
     def next_at(self, now: float) -> float | None:
         """When there is something to do if nothing else happens."""
-        times = [self.due(name, now) for name, target in self.targets.items()
-                 if target.waiting is not None and target.begun is None]
+        times = [
+            self.due(name, now)
+            for name, target in self.targets.items()
+            if target.waiting is not None and target.begun is None
+        ]
         times += [target.begun + STUCK for target in self.targets.values() if target.begun is not None]
         return min(times, default=None)
--- a/stackwheel/files/reader.py
+++ b/stackwheel/files/reader.py
@@ -54,9 +54,15 @@
 
 
 class Reader:
-    def __init__(self, place: Place, disk: Disk, now: Callable[[], float],
-                 keys: Callable[[], KeyRing] = lambda: NO_KEYS, aside: Aside = asyncio.to_thread,
-                 salt: int = 0) -> None:
+    def __init__(
+        self,
+        place: Place,
+        disk: Disk,
+        now: Callable[[], float],
+        keys: Callable[[], KeyRing] = lambda: NO_KEYS,
+        aside: Aside = asyncio.to_thread,
+        salt: int = 0,
+    ) -> None:
         self.place, self.disk, self.now, self.keys, self.aside = place, disk, now, keys, aside
         self.salt = salt
         self.acceptor: Acceptor | None = None
@@ -87,8 +93,11 @@
             if isinstance(document, Orders):
                 found.append((name, document))
             else:
-                news.append(NotTaken(name, document if isinstance(document, Refusal) else Refusal(
-                    Stage.CONTENT, "no file of orders")))
+                news.append(
+                    NotTaken(
+                        name, document if isinstance(document, Refusal) else Refusal(Stage.CONTENT, "no file of orders")
+                    )
+                )
         for name, orders in sorted(found, key=lambda one: (one[1].mark, one[1].base is not None)):
             if (one := await self.offer(name, orders)) is not None:
                 news.append(one)
@@ -108,7 +117,7 @@
                 if self.seen.get((folder, name)) != mark:
                     self.seen[folder, name] = mark
                     found.append((name, data))
-        for key in list(self.seen)[:max(0, len(self.seen) - SEEN_MOST)]:
+        for key in list(self.seen)[: max(0, len(self.seen) - SEEN_MOST)]:
             del self.seen[key]
         return found
 
@@ -157,14 +166,28 @@
         assert self.acceptor is not None
         return self.acceptor.lapse(self.now(), keep_for)
 
-    async def answer(self, rate: float, over: float, came: Iterable[Came], met: Iterable[Met],
-                     fresh: bool) -> SwapFailed | None:
+    async def answer(
+        self, rate: float, over: float, came: Iterable[Came], met: Iterable[Met], fresh: bool
+    ) -> SwapFailed | None:
         """Say what is applied, what came and what was met, in this forwarder's own file."""
         self.sequence += 1
         orders = self.newest.orders if self.newest is not None else None
-        document = Answer(self.place.proxy, self.place.zone, self.life, self.sequence, self.now(),
-                          orders.planner if orders else None, orders.incarnation if orders else None,
-                          orders.sequence if orders else 0, self.took, fresh, rate, over, tuple(came), tuple(met))
+        document = Answer(
+            self.place.proxy,
+            self.place.zone,
+            self.life,
+            self.sequence,
+            self.now(),
+            orders.planner if orders else None,
+            orders.incarnation if orders else None,
+            orders.sequence if orders else 0,
+            self.took,
+            fresh,
+            rate,
+            over,
+            tuple(came),
+            tuple(met),
+        )
         name = f"answer-{self.place.proxy}{SUFFIX}"
         failed = await self.aside(swap, self.disk, self.place.answers, name, encode(document, self.keys()))
         return failed  # type: ignore[no-any-return]
@@ -173,10 +196,21 @@
 def described(news: News) -> dict[str, object]:
     """News as an object for `--json`, and for people behind `follow`."""
     if isinstance(news, NotTaken):
-        return {"file": news.name, "taken": False, "stage": news.refusal.stage.name.lower(),
-                "reason": news.refusal.reason}
+        return {
+            "file": news.name,
+            "taken": False,
+            "stage": news.refusal.stage.name.lower(),
+            "reason": news.refusal.reason,
+        }
     orders = news.held.orders
-    return {"file": news.name, "taken": True, "target": target(orders), "sequence": orders.sequence,
-            "whole": orders.whole, "lines": {r: len(lines) for r, lines in news.held.content.tables.items()},
-            "withdrawn": list(orders.withdrawn), "bookings": [b.id for b in news.bookings],
-            "incarnation": msgspec.to_builtins(orders.incarnation)}
+    return {
+        "file": news.name,
+        "taken": True,
+        "target": target(orders),
+        "sequence": orders.sequence,
+        "whole": orders.whole,
+        "lines": {r: len(lines) for r, lines in news.held.content.tables.items()},
+        "withdrawn": list(orders.withdrawn),
+        "bookings": [b.id for b in news.bookings],
+        "incarnation": msgspec.to_builtins(orders.incarnation),
+    }
--- a/stackwheel/files/serve.py
+++ b/stackwheel/files/serve.py
@@ -37,14 +37,25 @@
 def document(choice: Choice) -> dict[str, Any]:
     """What holds, as `out` and the command get it."""
     content: Content = choice.content
-    return {"source": choice.source.value, "planner": choice.planner, "tables": content.tables,
-            "levels": {r: None if level is None else msgspec.to_builtins(level) for r, level in content.levels.items()},
-            "withdrawn": list(content.withdrawn)}
+    return {
+        "source": choice.source.value,
+        "planner": choice.planner,
+        "tables": content.tables,
+        "levels": {r: None if level is None else msgspec.to_builtins(level) for r, level in content.levels.items()},
+        "withdrawn": list(content.withdrawn),
+    }
 
 
 class Server:
-    def __init__(self, place: Place, keys: Callable[[], KeyRing], terms: Terms, sinks: Sinks,
-                 tell: Callable[[dict[str, object]], None], poll: float = 1.0) -> None:
+    def __init__(
+        self,
+        place: Place,
+        keys: Callable[[], KeyRing],
+        terms: Terms,
+        sinks: Sinks,
+        tell: Callable[[dict[str, object]], None],
+        poll: float = 1.0,
+    ) -> None:
         self.reader = Reader(place, SystemDisk(), unix_ms, keys)
         self.prevailing, self.sinks, self.tell, self.poll = Prevailing(terms), sinks, tell, poll
         self.shown: dict[str, Any] | None = None
--- a/stackwheel/files/watch.py
+++ b/stackwheel/files/watch.py
@@ -27,8 +27,14 @@
 
             if not here:
                 raise OSError("no folder to watch yet")
-            async for _ in awatch(*here, step=SETTLE, debounce=10 * SETTLE, rust_timeout=max(1, int(poll * 1000.0)),
-                                  yield_on_timeout=True, recursive=False):
+            async for _ in awatch(
+                *here,
+                step=SETTLE,
+                debounce=10 * SETTLE,
+                rust_timeout=max(1, int(poll * 1000.0)),
+                yield_on_timeout=True,
+                recursive=False,
+            ):
                 yield None
                 if [folder for folder in folders if Path(folder).is_dir()] != here:
                     break
--- a/stackwheel/forwarder/holdings.py
+++ b/stackwheel/forwarder/holdings.py
@@ -129,8 +129,14 @@
     return chosen
 
 
-def choose(held: Held, pick: str, chance: random.Random, under_way: Mapping[str, int],
-           avoid: Collection[str] = (), tried: Collection[str] = ()) -> str | None:
+def choose(
+    held: Held,
+    pick: str,
+    chance: random.Random,
+    under_way: Mapping[str, int],
+    avoid: Collection[str] = (),
+    tried: Collection[str] = (),
+) -> str | None:
     """The server for a try: by weight, or of two drawn by weight the one with less of its own work out.
 
     `avoid`: servers that failed too often in a row, kept off while another is left; `tried`: never again.
--- a/stackwheel/forwarder/orders.py
+++ b/stackwheel/forwarder/orders.py
@@ -6,8 +6,7 @@
 import re
 from dataclasses import dataclass
 
-FIELDS = frozenset(("routes", "full", "endpoints", "admit", "policy", "eject", "restore", "nonce_out",
-                    "continued"))
+FIELDS = frozenset(("routes", "full", "endpoints", "admit", "policy", "eject", "restore", "nonce_out", "continued"))
 PARTS_MOST = 64  # the protocol: so many parts make a message at most
 FIGURE = re.compile(r"[0-9]+(\.[0-9]+)?")
 
@@ -30,8 +29,14 @@
 
     def cost(self) -> int:
         """Lines, as the channel counts them."""
-        return (len(self.lines) + len(self.eject) + len(self.restore) + self.whole
-                + (self.level is not None) + (self.mark is not None))
+        return (
+            len(self.lines)
+            + len(self.eject)
+            + len(self.restore)
+            + self.whole
+            + (self.level is not None)
+            + (self.mark is not None)
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,9 +85,14 @@
     level = (figure(fields["admit"]), way(fields["policy"])) if "admit" in fields else None
     mark = int(whole(fields["nonce_out"])) if "nonce_out" in fields else None
     part = OrderPart(
-        tuple(fields["routes"].split("+")) if "routes" in fields else (), flag(fields, "full"),
+        tuple(fields["routes"].split("+")) if "routes" in fields else (),
+        flag(fields, "full"),
         tuple(pair(text) for text in fields["endpoints"].split(",")) if fields.get("endpoints") else (),
-        level, names(fields, "eject"), names(fields, "restore"), mark)
+        level,
+        names(fields, "eject"),
+        names(fields, "restore"),
+        mark,
+    )
     return part, flag(fields, "continued")
 
 
--- a/stackwheel/interface.py
+++ b/stackwheel/interface.py
@@ -200,8 +200,18 @@
 
 
 Event: TypeAlias = (
-    ServerList | TimerFired | ProbeResult | PeerMessage | ProxyJoined | ProxyLeft | Acknowledged
-    | ServerReport | DemandReport | SliceDemand | SliceGranted | SliceLine
+    ServerList
+    | TimerFired
+    | ProbeResult
+    | PeerMessage
+    | ProxyJoined
+    | ProxyLeft
+    | Acknowledged
+    | ServerReport
+    | DemandReport
+    | SliceDemand
+    | SliceGranted
+    | SliceLine
 )
 
 
@@ -282,6 +292,16 @@
 
 
 Action: TypeAlias = (
-    SetWeight | AssignTable | ClearTable | Withdraw | SetAdmission | Mark | SetTimer | Probe | Subscribe
-    | FetchList | TellPeers | Log
+    SetWeight
+    | AssignTable
+    | ClearTable
+    | Withdraw
+    | SetAdmission
+    | Mark
+    | SetTimer
+    | Probe
+    | Subscribe
+    | FetchList
+    | TellPeers
+    | Log
 )
--- a/stackwheel/operators/notation.py
+++ b/stackwheel/operators/notation.py
@@ -226,9 +226,12 @@
 def gathered(children: list[object], place: Place) -> Record:
     fields = [c for c in children if isinstance(c, Field)]
     place = fields[0].place if fields else place
-    return Record(tuple(f for f in fields if not f.name.startswith("#")),
-                  tuple(f for f in fields if f.name.startswith("#")),
-                  any(isinstance(c, Token) and c.type == "ELLIPSIS" for c in children), place)
+    return Record(
+        tuple(f for f in fields if not f.name.startswith("#")),
+        tuple(f for f in fields if f.name.startswith("#")),
+        any(isinstance(c, Token) and c.type == "ELLIPSIS" for c in children),
+        place,
+    )
 
 
 def number(text: str) -> int | float:
@@ -255,7 +258,7 @@
     if body.startswith("{") and body.endswith("}"):  # JSON, or a record in its braces
         text = text.replace("{", " ", 1)
         cut = text.rindex("}")
-        text = text[:cut] + " " + text[cut + 1:]
+        text = text[:cut] + " " + text[cut + 1 :]
     try:
         tree = parser().parse(text)
         found = Build().transform(tree)
--- a/stackwheel/operators/unify.py
+++ b/stackwheel/operators/unify.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+import operator
 import re
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
-from typing import TypeAlias
+from typing import Any, TypeAlias
 
 from stackwheel.operators.notation import (
     All,
@@ -27,6 +28,12 @@
 
 REFERENCES_MOST = 32  # one in another: a definition that names itself never ends
 Plain: TypeAlias = str | int | float | bool | None
+COMPARISONS: dict[str, Callable[[Any, Any], bool]] = {
+    ">=": operator.ge,
+    "<=": operator.le,
+    ">": operator.gt,
+    "<": operator.lt,
+}
 
 
 class UnifyError(ValueError):
@@ -101,8 +108,7 @@
         return isinstance(value, str) and isinstance(limit, str) and re.search(limit, value) is not None
     if isinstance(value, str) != isinstance(limit, str) or value is None or isinstance(value, bool):
         return False
-    return {">=": value >= limit, "<=": value <= limit, ">": value > limit,  # type: ignore[operator]
-            "<": value < limit}[bound.op]  # type: ignore[operator]
+    return COMPARISONS[bound.op](value, limit)
 
 
 def shown(value: Plain) -> str:
@@ -113,7 +119,8 @@
 
 def expected(narrowed: Narrowed) -> str:
     words = [kind for kind, _ in narrowed.kinds] + [
-        f"{bound.op}{shown(bound.value.value)}" for bound, _ in narrowed.bounds]
+        f"{bound.op}{shown(bound.value.value)}" for bound, _ in narrowed.bounds
+    ]
     return " & ".join(dict.fromkeys(words)) or "another value"
 
 
@@ -154,8 +161,11 @@
             if name not in allowed:
                 one, claim = said[0]
                 near = nearest(name, allowed)
-                raise UnifyError(claim.source.at(one.place), f"{path}.{name}" if path else name,
-                                 f"no such field{f'; is {near!r} meant?' if near else ''}")
+                raise UnifyError(
+                    claim.source.at(one.place),
+                    f"{path}.{name}" if path else name,
+                    f"no such field{f'; is {near!r} meant?' if near else ''}",
+                )
 
     def value(self, path: str, claims: list[Claim]) -> Tree:
         """One value that all claims allow."""
@@ -172,26 +182,32 @@
             self.narrow(path, narrowed, claim)
         return self.choose(path, narrowed, choices)
 
-    def structure(self, path: str, records: list[Claim], items: list[Claim], plain: list[Claim],
-                  choices: list[Claim]) -> Tree:
+    def structure(
+        self, path: str, records: list[Claim], items: list[Claim], plain: list[Claim], choices: list[Claim]
+    ) -> Tree:
         """A record or a list; whoever says it is something else is in the way."""
         for claim in plain:
             if not (isinstance(claim.value, Kind) and claim.value.name == "_"):
-                raise UnifyError(claim.source.at(claim.value.place), path,
-                                 f"a {'record' if records else 'list'} was expected")
+                raise UnifyError(
+                    claim.source.at(claim.value.place), path, f"a {'record' if records else 'list'} was expected"
+                )
         for claim in choices:
             assert isinstance(claim.value, Either)
             fit = [v for v in claim.value.values if isinstance(v, Record if records else Items)]
             if not fit:
                 blamed = next((c for c in records + items if c.source is not self.sources[0]), claim)
-                raise UnifyError(blamed.source.at(blamed.value.place), path,
-                                 f"{self.named(blamed.value)} found, {self.words(claim.value)} expected")
+                raise UnifyError(
+                    blamed.source.at(blamed.value.place),
+                    path,
+                    f"{self.named(blamed.value)} found, {self.words(claim.value)} expected",
+                )
             (records if records else items).insert(0, replace_value(claim, fit[0]))
         if records and items:
             blamed = max(records + items, key=lambda c: self.sources.index(c.source))
             wanted = "a list" if blamed in records else "a record"
-            raise UnifyError(blamed.source.at(blamed.value.place), path,
-                             f"{self.named(blamed.value)} found, {wanted} expected")
+            raise UnifyError(
+                blamed.source.at(blamed.value.place), path, f"{self.named(blamed.value)} found, {wanted} expected"
+            )
         if records:
             return self.record(path, records)
         given = [c for c in items if c.source is not self.sources[0]] or items
@@ -239,8 +255,11 @@
             narrowed.bounds.append((value, claim))
         elif isinstance(value, Scalar):
             if narrowed.leaf is not None and not same(narrowed.leaf.value, value.value):
-                raise UnifyError(claim.source.at(value.place), path,
-                                 f"{shown(value.value)}, but {narrowed.leaf.origin} says {shown(narrowed.leaf.value)}")
+                raise UnifyError(
+                    claim.source.at(value.place),
+                    path,
+                    f"{shown(value.value)}, but {narrowed.leaf.origin} says {shown(narrowed.leaf.value)}",
+                )
             if narrowed.leaf is None:
                 narrowed.leaf = Leaf(value.value, claim.source.at(value.place))
         else:
@@ -253,7 +272,8 @@
         if leaf is None:
             return
         if not all(fits(leaf.value, kind) for kind, _ in narrowed.kinds) or not all(
-                holds(leaf.value, bound) for bound, _ in narrowed.bounds):
+            holds(leaf.value, bound) for bound, _ in narrowed.bounds
+        ):
             raise UnifyError(leaf.origin, path, f"{shown(leaf.value)} found, {expected(narrowed)} expected")
 
     def choose(self, path: str, narrowed: Narrowed, choices: list[Claim]) -> Leaf:
@@ -288,14 +308,20 @@
             except UnifyError:
                 continue
             return
-        raise UnifyError(narrowed.leaf.origin, path,
-                         f"{shown(narrowed.leaf.value)} found, {self.words(claim.value)} expected")
+        raise UnifyError(
+            narrowed.leaf.origin, path, f"{shown(narrowed.leaf.value)} found, {self.words(claim.value)} expected"
+        )
 
     def words(self, value: Value) -> str:
         """The choices, without a default that the others allow anyway."""
         assert isinstance(value, Either)
-        told = [v for at, v in enumerate(value.values) if at != value.default or isinstance(v, Record | Items) or all(
-            isinstance(other, Scalar) for other in value.values)]
+        told = [
+            v
+            for at, v in enumerate(value.values)
+            if at != value.default
+            or isinstance(v, Record | Items)
+            or all(isinstance(other, Scalar) for other in value.values)
+        ]
         return " | ".join(dict.fromkeys(self.named(one) for one in told))
 
     def named(self, value: Value) -> str:
--- a/stackwheel/rules/checker.py
+++ b/stackwheel/rules/checker.py
@@ -73,15 +73,25 @@
     def note(self, now: float, what: str, *about: object) -> None:
         self.recent.append((now, what, about))
 
-    def break_rule(self, now: float, rule: Rule, detail: str, planner: int | None = None,
-                   proxy: int | None = None, server: str | None = None) -> None:
+    def break_rule(
+        self,
+        now: float,
+        rule: Rule,
+        detail: str,
+        planner: int | None = None,
+        proxy: int | None = None,
+        server: str | None = None,
+    ) -> None:
         key = (rule, planner, proxy, server)
         if key in self.told or len(self.verdicts) >= VERDICTS_MOST:
             return
         self.told.add(key)
         concerned = {f"planner-{planner}", f"proxy-{proxy}", server} - {None, "planner-None", "proxy-None"}
-        trail = [f"{at / 1000.0:.3f} s {what} {' '.join(map(str, about))}".rstrip()
-                 for at, what, about in self.recent if not concerned or concerned & set(about) or not about]
+        trail = [
+            f"{at / 1000.0:.3f} s {what} {' '.join(map(str, about))}".rstrip()
+            for at, what, about in self.recent
+            if not concerned or concerned & set(about) or not about
+        ]
         self.verdicts.append(Verdict(now, rule, planner, proxy, server, detail, tuple(trail[-TRAIL:])))
 
     # planners
@@ -139,12 +149,15 @@
     def refresh(self, planner: int, now: float) -> None:
         """Which zones and classes have a warm server listed, and since when without a break."""
         view = self.planners[planner]
-        warm = [s for s in view.listed.values()
-                if s.availability is Availability.READY and s.warm_at <= now]
+        warm = [s for s in view.listed.values() if s.availability is Availability.READY and s.warm_at <= now]
         able: dict[tuple[int, int], float] = {}
         for place, wanted in enumerate(self.classes):
-            fit = [s for s in warm if (not wanted.open_zones or s.zone in wanted.open_zones)
-                   and (not wanted.open_kinds or s.kind in wanted.open_kinds)]
+            fit = [
+                s
+                for s in warm
+                if (not wanted.open_zones or s.zone in wanted.open_zones)
+                and (not wanted.open_kinds or s.kind in wanted.open_kinds)
+            ]
             for zone in range(self.zones):
                 if any(s.zone == zone for s in fit) if wanted.zone_bound else fit:
                     able[zone, place] = view.able.get((zone, place), now)
@@ -213,8 +226,13 @@
                 state = self.proxies[subject]
                 until = self.bare_until(state, place)
                 if until <= now:
-                    self.break_rule(now, Rule.SERVED, f"no line for class {place} since "
-                                    f"{state.bare[place] / 1000.0:.3f} s", state.planner, subject)
+                    self.break_rule(
+                        now,
+                        Rule.SERVED,
+                        f"no line for class {place} since {state.bare[place] / 1000.0:.3f} s",
+                        state.planner,
+                        subject,
+                    )
                 elif until < math.inf:
                     heapq.heappush(due, (until, 0, subject, place))
 
@@ -229,8 +247,9 @@
         self.checks += 1
         since = max(view.away[server], state.joined_at, view.holds_from, state.holds_from)
         if now > since + self.limits.drain:
-            self.break_rule(now, Rule.DRAINS, f"sent {(now - since) / 1000.0:.2f} s after it was told",
-                            state.planner, proxy, server)
+            self.break_rule(
+                now, Rule.DRAINS, f"sent {(now - since) / 1000.0:.2f} s after it was told", state.planner, proxy, server
+            )
 
     def effect(self, request: int, place: int, group: int, proxy: int, server: str, now: float) -> None:
         """A request has had its effect; `group`: the servers that drop its repeats among themselves."""
@@ -243,8 +262,14 @@
             return
         self.checks += 1
         done.append((group, now))
-        self.break_rule(now, Rule.ONCE, f"request {request} of class {place} took effect {len(done)} times",
-                        self.proxies[proxy].planner, proxy, server)
+        self.break_rule(
+            now,
+            Rule.ONCE,
+            f"request {request} of class {place} took effect {len(done)} times",
+            self.proxies[proxy].planner,
+            proxy,
+            server,
+        )
 
     def forget_request(self, request: int) -> None:
         """Nothing of it can run any more."""
@@ -254,8 +279,13 @@
         """A final answer went out; `decided`: when it could have."""
         state = self.proxies[proxy]
         if now - max(decided, state.holds_from) > PROMPT_WITHIN:
-            self.break_rule(now, Rule.PROMPT, f"request {request} answered {now - decided:.0f} ms after its end",
-                            state.planner, proxy)
+            self.break_rule(
+                now,
+                Rule.PROMPT,
+                f"request {request} answered {now - decided:.0f} ms after its end",
+                state.planner,
+                proxy,
+            )
 
     # servers
 
@@ -267,8 +297,12 @@
             return
         since = self.over.setdefault(server, now)
         if now - since >= self.limits.overload:
-            self.break_rule(now, Rule.COLD, f"sent {load / max(1e-9, bears):.1f} times what it can do for "
-                            f"{(now - since) / 1000.0:.1f} s", server=server)
+            self.break_rule(
+                now,
+                Rule.COLD,
+                f"sent {load / max(1e-9, bears):.1f} times what it can do for {(now - since) / 1000.0:.1f} s",
+                server=server,
+            )
 
     def server_warm(self, server: str) -> None:
         self.over.pop(server, None)
@@ -291,5 +325,10 @@
         while now - times[0] >= self.limits.cap_window - WINDOW_MARGIN:
             times.popleft()
         if len(times) > self.limits.cap:
-            self.break_rule(now, Rule.CAP, f"over {self.limits.cap} messages within "
-                            f"{self.limits.cap_window / 1000.0:g} s", planner, proxy)
+            self.break_rule(
+                now,
+                Rule.CAP,
+                f"over {self.limits.cap} messages within {self.limits.cap_window / 1000.0:g} s",
+                planner,
+                proxy,
+            )
--- a/stackwheel/rules/verdicts.py
+++ b/stackwheel/rules/verdicts.py
@@ -43,9 +43,16 @@
 
     @classmethod
     def of(cls, settings: Settings) -> Limits:
-        return cls(settings.unserved_max + ALLOWANCE, settings.drain_grace + ALLOWANCE,
-                   settings.overload_for + ALLOWANCE, settings.fall_multiple, settings.backlog,
-                   settings.message_cap, settings.message_window, settings.only_draining_binds)
+        return cls(
+            settings.unserved_max + ALLOWANCE,
+            settings.drain_grace + ALLOWANCE,
+            settings.overload_for + ALLOWANCE,
+            settings.fall_multiple,
+            settings.backlog,
+            settings.message_cap,
+            settings.message_window,
+            settings.only_draining_binds,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +68,10 @@
     trail: tuple[str, ...] = ()
 
     def __str__(self) -> str:
-        who = [f"planner {self.planner}" if self.planner is not None else "",
-               f"proxy {self.proxy}" if self.proxy is not None else "", self.server or ""]
+        who = [
+            f"planner {self.planner}" if self.planner is not None else "",
+            f"proxy {self.proxy}" if self.proxy is not None else "",
+            self.server or "",
+        ]
         subjects = ", ".join(word for word in who if word)
         return f"{self.at / 1000.0:.3f} s: {self.rule.value}: {subjects}{': ' if subjects else ''}{self.detail}"
--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -114,12 +114,20 @@
         self.clock = Clock(around.wall, around.steady)
         self.roster = Roster(config.names.zones, config.names.kinds, Ids())
         self.roster.apply(config.known)
-        self.links = Links(config.addresses, config.settings, config.names, self.roster, self.clock,
-                           around.listen_at, config.seed)
+        self.links = Links(
+            config.addresses, config.settings, config.names, self.roster, self.clock, around.listen_at, config.seed
+        )
         self.extras = around.extras(self)
         outside = Outsides(self.links, self.extras) if self.extras else self.links
-        self.module = Module(on_sockets(config.settings), config.names.tick, config.seed, self.clock,
-                             self.roster, outside, silence(config.settings))
+        self.module = Module(
+            on_sockets(config.settings),
+            config.names.tick,
+            config.seed,
+            self.clock,
+            self.roster,
+            outside,
+            silence(config.settings),
+        )
         self.reload = Reload(config, self.links.readdress, around.load)
 
     async def run(self) -> None:
@@ -129,8 +137,12 @@
         self.module.decide([self.roster.cached()])  # known first; who connects finds a planner that is ready
         self.around.settle()
         await self.links.open(self.module.post)
-        logger.info("ready on {}, {} servers known of list {}", self.config.addresses.listen,
-                    len(self.roster.entries), self.roster.generation)
+        logger.info(
+            "ready on {}, {} servers known of list {}",
+            self.config.addresses.listen,
+            len(self.roster.entries),
+            self.roster.generation,
+        )
         self.links.keep(self.reload.run())
         for extra in self.extras:
             self.links.keep(extra.run())
--- a/stackwheel/service/config.py
+++ b/stackwheel/service/config.py
@@ -74,17 +74,28 @@
     if not isinstance(limits, dict) or not isinstance(peers, list):
         raise ValueError("limits or peers is wrong")
     addresses = Addresses(
-        address(found, "listen"), address(found, "discovery"), address(found, "peer_listen", ""),
-        tuple(checked("peers", peer) for peer in peers), address(found, "peers_all", ""),
+        address(found, "listen"),
+        address(found, "discovery"),
+        address(found, "peer_listen", ""),
+        tuple(checked("peers", peer) for peer in peers),
+        address(found, "peers_all", ""),
         min(int(limit(limits, "sockets")), resource.getrlimit(resource.RLIMIT_NOFILE)[0]),
-        limit(limits, "memory_mb"))
+        limit(limits, "memory_mb"),
+    )
     if built.planner >= built.planners:
         raise ValueError(f"settings.me is {built.planner}, of {built.planners} instances")
     if addresses.peers and len(addresses.peers) != built.planners:
         raise ValueError(f"{len(addresses.peers)} peers for {built.planners} instances")
     known = found.get("known")
-    return Config(str(found.get("name", "planner")), addresses, read_seed(found.get("seed", "0")),
-                  built, names, Listing(0, True, ()) if known is None else read_listing(known, refuse), absent)
+    return Config(
+        str(found.get("name", "planner")),
+        addresses,
+        read_seed(found.get("seed", "0")),
+        built,
+        names,
+        Listing(0, True, ()) if known is None else read_listing(known, refuse),
+        absent,
+    )
 
 
 def refuse(what: str) -> None:
--- a/stackwheel/service/extras.py
+++ b/stackwheel/service/extras.py
@@ -35,9 +35,21 @@
 def file_desk(service: Service, files: Files) -> FileDesk:
     config = service.config
     keys = load_keys(Path(files.keys)) if files.keys else NO_KEYS
-    ledger = Ledger(config.name, config.names, config.settings.proxies,
-                    Terms(files.life, files.whole_every, config.settings.cycle), service.roster.ids.name,
-                    random.Random(config.seed).getrandbits(48))
+    ledger = Ledger(
+        config.name,
+        config.names,
+        config.settings.proxies,
+        Terms(files.life, files.whole_every, config.settings.cycle),
+        service.roster.ids.name,
+        random.Random(config.seed).getrandbits(48),
+    )
     pusher = Pusher(Pace(files.pace.cap, files.pace.span, files.pace.least), config.seed, files.under_way)
-    return FileDesk(ledger, pusher, Folders(files.out, files.answers), SystemDisk(), service.clock.now,
-                    lambda item: service.module.post(item), keys)
+    return FileDesk(
+        ledger,
+        pusher,
+        Folders(files.out, files.answers),
+        SystemDisk(),
+        service.clock.now,
+        lambda item: service.module.post(item),
+        keys,
+    )
--- a/stackwheel/service/reload.py
+++ b/stackwheel/service/reload.py
@@ -18,8 +18,9 @@
 class Reload:
     """Asked any number of times, it reads the file once more after the last."""
 
-    def __init__(self, config: Config, apply: Callable[[Addresses], None],
-                 load: Callable[[], Config | ConfigError] = load_config) -> None:
+    def __init__(
+        self, config: Config, apply: Callable[[Addresses], None], load: Callable[[], Config | ConfigError] = load_config
+    ) -> None:
         self.config, self.apply, self.load = config, apply, load
         self.asked = asyncio.Event()
 
--- a/stackwheel/settings.py
+++ b/stackwheel/settings.py
@@ -17,8 +17,14 @@
 
 
 # A load column's other names, and the name that the settings and the policy know it by.
-COLUMNS = {"inflight": "outstanding", "queue": "backlog", "util": "utilization", "latency_ms": "recent_ms",
-           "qps": "throughput", "eps": "errors_per_s"}
+COLUMNS = {
+    "inflight": "outstanding",
+    "queue": "backlog",
+    "util": "utilization",
+    "latency_ms": "recent_ms",
+    "qps": "throughput",
+    "eps": "errors_per_s",
+}
 OPTIONAL = ("obligations.only_draining_binds",)  # given only where it holds
 
 
--- a/stackwheel/state/clock.py
+++ b/stackwheel/state/clock.py
@@ -9,8 +9,7 @@
 class Clock:
     """Both sources give seconds; they come from outside so that a virtual clock can take their place."""
 
-    def __init__(self, wall: Callable[[], float] = time.time,
-                 steady: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, wall: Callable[[], float] = time.time, steady: Callable[[], float] = time.monotonic) -> None:
         self.steady = steady
         self.offset = wall() * 1000.0 - steady() * 1000.0
 
--- a/stackwheel/state/module.py
+++ b/stackwheel/state/module.py
@@ -91,9 +91,17 @@
 class Module:
     """Owns the policy, the streams and the tables; nothing else touches them."""
 
-    def __init__(self, settings: Settings, tick: float, seed: int, clock: Clock, roster: Roster,
-                 outside: Outside, silence: float = math.inf,
-                 make: Callable[[Settings, int], Planner] = Planner) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        tick: float,
+        seed: int,
+        clock: Clock,
+        roster: Roster,
+        outside: Outside,
+        silence: float = math.inf,
+        make: Callable[[Settings, int], Planner] = Planner,
+    ) -> None:
         self.settings, self.tick, self.seed, self.make = settings, tick, seed, make
         self.clock, self.roster, self.outside = clock, roster, outside
         self.streams = Streams(silence)
@@ -183,8 +191,12 @@
         if not isinstance(event, face.Acknowledged):
             return [] if event is None else [event]
         if not self.streams.answered(event.proxy, event.mark, event.elapsed, self.clock.now()):
-            logger.warning("proxy {}: answer to mark {} after {:g} ms left out: no such mark went out then",
-                           event.proxy, event.mark, event.elapsed)
+            logger.warning(
+                "proxy {}: answer to mark {} after {:g} ms left out: no such mark went out then",
+                event.proxy,
+                event.mark,
+                event.elapsed,
+            )
             return []
         own = self.orders.own_mark(event.mark)
         return [] if own is None else [face.Acknowledged(event.proxy, own, event.elapsed)]
--- a/stackwheel/state/orders.py
+++ b/stackwheel/state/orders.py
@@ -72,8 +72,11 @@
 
     def names(self, server: Server) -> bool:
         """Whether a table, a withdrawal or a stream that shut it out still names a server."""
-        return (server in self.withdrawn or any(server in lines for lines in self.tables.values())
-                or any(stream.shut.get(server) for stream in self.streams.by_proxy.values()))
+        return (
+            server in self.withdrawn
+            or any(server in lines for lines in self.tables.values())
+            or any(stream.shut.get(server) for stream in self.streams.by_proxy.values())
+        )
 
     def take(self, actions: Iterable[Action]) -> list[Message]:
         """Bring the tables to the end state of a reply; a message to each proxy that it concerns."""
@@ -131,8 +134,9 @@
         mark = self.first_mark + touched.mark.mark if touched.mark is not None else None
         return Message(stream.proxy, mine, shut, back, mark)
 
-    def parts(self, stream: Stream, touched: Touched,
-              known: dict[tuple[object, ...], tuple[Part, ...]]) -> Iterator[Part]:
+    def parts(
+        self, stream: Stream, touched: Touched, known: dict[tuple[object, ...], tuple[Part, ...]]
+    ) -> Iterator[Part]:
         """Classes that share a table share its lines, and those with one level a part that tells it."""
         groups: dict[tuple[int | None, bool], dict[int, Level | None]] = {}
         for place in self.classes:
@@ -148,8 +152,9 @@
                 known[key] = tuple(self.parts_of(table, whole, levels, touched))
             yield from known[key]
 
-    def parts_of(self, table: int | None, whole: bool, levels: dict[int, Level | None],
-                 touched: Touched) -> Iterator[Part]:
+    def parts_of(
+        self, table: int | None, whole: bool, levels: dict[int, Level | None], touched: Touched
+    ) -> Iterator[Part]:
         """A table's lines for its classes; their levels with them if they are alike, else in parts that follow."""
         lines = self.tables.get(table, {}) if table is not None else {}
         if not whole and table is not None:
@@ -162,16 +167,16 @@
             for one in dict.fromkeys(level for level in levels.values() if level is not None):
                 yield Part(tuple(place for place, level in levels.items() if level == one), False, (), one)
 
-    def health(self, stream: Stream, touched: Touched,
-               parts: tuple[Part, ...]) -> tuple[tuple[Server, ...], tuple[Server, ...]]:
+    def health(
+        self, stream: Stream, touched: Touched, parts: tuple[Part, ...]
+    ) -> tuple[tuple[Server, ...], tuple[Server, ...]]:
         """Servers to shut out or let back: those its tables hold, and any if it holds others' tables too."""
         if not (self.doubt or touched.health):  # a policy that withdraws nothing pays nothing
             return (), ()
         held = [self.tables.get(table, {}) for table in stream.tables()]
         foreign = len(stream.bound) < len(self.classes)
         named = dict.fromkeys(s for part in parts for s, weight in part.lines if weight > 0)
-        news = [s for s in touched.health
-                if foreign or stream.shut.get(s) or any(s in lines for lines in held)]
+        news = [s for s in touched.health if foreign or stream.shut.get(s) or any(s in lines for lines in held)]
         shut: list[Server] = []
         back: list[Server] = []
         for server in dict.fromkeys([*news, *named]):
--- a/stackwheel/state/roster.py
+++ b/stackwheel/state/roster.py
@@ -95,8 +95,7 @@
         """Known servers that a whole list may name in an entry which could not be read: that is no departure."""
         named = {digest(name) for name in listing.unreadable}
         named |= {digest(one.name) for one in listing.instances}  # an unknown zone, say
-        return {s: e for s, e in self.entries.items()
-                if s not in read and ("" in listing.unreadable or s in named)}
+        return {s: e for s, e in self.entries.items() if s not in read and ("" in listing.unreadable or s in named)}
 
     def newer(self, listing: Listing, now: float) -> Listing:
         """Of an older generation than is known, what still counts.
@@ -115,8 +114,12 @@
             self.doubted = None
             return listing
         elif listing.whole:
-            logger.warning("list {} revives what left by list {}: it is believed only if nothing newer comes for "
-                           "{:g} s", listing.generation, self.generation, STALE_MOST / 1000.0)
+            logger.warning(
+                "list {} revives what left by list {}: it is believed only if nothing newer comes for {:g} s",
+                listing.generation,
+                self.generation,
+                STALE_MOST / 1000.0,
+            )
             self.doubted = (now if self.doubted is None else self.doubted[0]), listing
         kept = tuple(one for one in listing.instances if self.counts(one))
         return Listing(self.generation, False, kept)
@@ -163,8 +166,15 @@
             return None
         self.addresses[server] = instance.address
         kind = self.kinds.index(instance.kind) if instance.kind in self.kinds else len(self.kinds)
-        return ServerEntry(server, self.zones.index(instance.zone), kind, instance.cell,
-                           instance.availability, instance.weight, instance.started)
+        return ServerEntry(
+            server,
+            self.zones.index(instance.zone),
+            kind,
+            instance.cell,
+            instance.availability,
+            instance.weight,
+            instance.started,
+        )
 
     def outdated(self) -> list[Server]:
         """The gone servers beyond the bound, which are forgotten once nothing names them."""
--- a/stackwheel/state/streams.py
+++ b/stackwheel/state/streams.py
@@ -105,7 +105,7 @@
         if mark not in stream.marks or elapsed > now - stream.marks[mark] + CLOCKS_APART:
             return False
         order = list(stream.marks)
-        stream.marks = {later: stream.marks[later] for later in order[order.index(mark) + 1:]}
+        stream.marks = {later: stream.marks[later] for later in order[order.index(mark) + 1 :]}
         return True
 
     def forget(self, server: Server) -> None:
--- a/stackwheel/trials/defects.py
+++ b/stackwheel/trials/defects.py
@@ -82,9 +82,17 @@
 
 
 def urgent_forgotten() -> Sequence[Patch]:
-    return [(Planner, "moves", lambda self, place, table: [
-        (3, gain, at, server, weight) for _, gain, at, server, weight in honest_moves(self, place, table)
-        if weight > 0])]
+    return [
+        (
+            Planner,
+            "moves",
+            lambda self, place, table: [
+                (3, gain, at, server, weight)
+                for _, gain, at, server, weight in honest_moves(self, place, table)
+                if weight > 0
+            ],
+        )
+    ]
 
 
 honest_moves = Planner.moves
@@ -113,8 +121,9 @@
 
     def bind_joined(self: Planner) -> None:
         honest(self)
-        self.actions = [a for a in self.actions
-                        if not (isinstance(a, face.AssignTable) and a.classes and a.classes[0] > 0)]
+        self.actions = [
+            a for a in self.actions if not (isinstance(a, face.AssignTable) and a.classes and a.classes[0] > 0)
+        ]
 
     return [(Planner, "bind_joined", bind_joined)]
 
@@ -122,8 +131,9 @@
 def tables_emptied() -> Sequence[Patch]:
     honest = Planner.write
 
-    def write(self: Planner, table: Any, users: list[int], changes: dict[face.Server, float],
-              levels: dict[int, face.Level]) -> None:
+    def write(
+        self: Planner, table: Any, users: list[int], changes: dict[face.Server, float], levels: dict[int, face.Level]
+    ) -> None:
         worn = dict.fromkeys(changes, 0.0) if self.slot > 8 and self.slot % 3 == 0 else changes
         honest(self, table, users, {**worn, **(dict.fromkeys(table.sent, 0.0) if worn is not changes else {})}, levels)
 
@@ -137,8 +147,13 @@
 
 def zero_lines_dropped() -> Sequence[Patch]:
     honest = Encoder.part
-    return [(Encoder, "part", lambda self, part: honest(
-        self, replace(part, lines=tuple((s, w) for s, w in part.lines if w > 0))))]
+    return [
+        (
+            Encoder,
+            "part",
+            lambda self, part: honest(self, replace(part, lines=tuple((s, w) for s, w in part.lines if w > 0))),
+        )
+    ]
 
 
 def end_of_another() -> Sequence[Patch]:
@@ -152,6 +167,7 @@
 
 def words_of_another() -> Sequence[Patch]:
     """The older stream of a proxy takes it over again with its late words."""
+
     def heard(self: Streams, proxy: int, line: Any) -> Iterable[face.Event] | None:
         stream = self.by_proxy.get(proxy)
         if stream is not None and not carried(self.by_proxy, proxy, line):
@@ -168,6 +184,7 @@
 
 def older_believed() -> Sequence[Patch]:
     """Generations are not compared: an older state brings back what drains."""
+
     def newer(self: Roster, listing: Listing, now: float) -> Listing:
         return listing
 
@@ -266,7 +283,7 @@
         try:
             handle = disk.create(f"{folder}/{name}")
             for at in range(0, len(data), 200):
-                disk.write(handle, data[at:at + 200])
+                disk.write(handle, data[at : at + 200])
             disk.close(handle)
         except OSError as error:
             return SwapFailed("write", str(error))
@@ -310,8 +327,10 @@
 
 def age_ignored() -> Sequence[Patch]:
     honest = Acceptor.offer
-    return [(Acceptor, "offer", lambda self, orders, now: honest(self, orders, min(now, orders.made))),
-            (Reader, "over", lambda self, orders: False)]
+    return [
+        (Acceptor, "offer", lambda self, orders, now: honest(self, orders, min(now, orders.made))),
+        (Reader, "over", lambda self, orders: False),
+    ]
 
 
 DEFECTS: tuple[Defect, ...] = (
@@ -320,35 +339,75 @@
     Defect("removals-late", "policy", (Rule.DRAINS,), urgent_forgotten, "lines that go are never sent"),
     Defect("cold-as-warm", "policy", (Rule.COLD,), cold_as_warm, "a started server gets its full share at once"),
     Defect("cold-share-tenfold", "policy", (Rule.COLD,), cold_tenfold, "the cold limit is taken times ten"),
-    Defect("repeats-ordered", "policy", (Rule.ONCE,), lambda: [(balance, "FURTHER_TRY", Retry.TWICE)],
-           "proxies try again after any failure"),
+    Defect(
+        "repeats-ordered",
+        "policy",
+        (Rule.ONCE,),
+        lambda: [(balance, "FURTHER_TRY", Retry.TWICE)],
+        "proxies try again after any failure",
+    ),
     Defect("never-bound", "policy", (Rule.SERVED, Rule.DRAINS), never_bound, "joined proxies get no tables"),
-    Defect("one-class-bound", "policy", (Rule.SERVED, Rule.DRAINS, Rule.AGREES), one_class_bound,
-           "only the first class gets its table"),
+    Defect(
+        "one-class-bound",
+        "policy",
+        (Rule.SERVED, Rule.DRAINS, Rule.AGREES),
+        one_class_bound,
+        "only the first class gets its table",
+    ),
     Defect("tables-emptied", "policy", (Rule.SERVED,), tables_emptied, "tables lose all their lines at times"),
-    Defect("queue-unbounded", "policy", (Rule.QUEUE,),
-           lambda: [(Outbox, "room", lambda self, lines, share: math.inf)], "the channel's limit is not kept"),
+    Defect(
+        "queue-unbounded",
+        "policy",
+        (Rule.QUEUE,),
+        lambda: [(Outbox, "room", lambda self, lines, share: math.inf)],
+        "the channel's limit is not kept",
+    ),
     Defect("cap-ignored", "policy and wire", (Rule.CAP,), uncapped, "nobody counts the messages to a proxy"),
     Defect("cap-by-stream", "policy and wire", (Rule.CAP,), capped_by_stream, "a new stream begins a new count"),
-    Defect("end-of-another", "state", (Rule.SERVED, Rule.DRAINS, Rule.COLD), end_of_another,
-           "the old stream's end ends the new one"),
-    Defect("words-of-another", "state", (Rule.AGREES, Rule.SERVED, Rule.DRAINS, Rule.UPRIGHT), words_of_another,
-           "late words of an old stream take its proxy back"),
-    Defect("whole-list-as-changes", "state", (Rule.DRAINS,), whole_list_as_changes,
-           "what a whole list lacks stays listed"),
+    Defect(
+        "end-of-another",
+        "state",
+        (Rule.SERVED, Rule.DRAINS, Rule.COLD),
+        end_of_another,
+        "the old stream's end ends the new one",
+    ),
+    Defect(
+        "words-of-another",
+        "state",
+        (Rule.AGREES, Rule.SERVED, Rule.DRAINS, Rule.UPRIGHT),
+        words_of_another,
+        "late words of an old stream take its proxy back",
+    ),
+    Defect(
+        "whole-list-as-changes", "state", (Rule.DRAINS,), whole_list_as_changes, "what a whole list lacks stays listed"
+    ),
     Defect("older-believed", "state", (Rule.DRAINS,), older_believed, "an older generation undoes a drain"),
-    Defect("batch-cut", "state", (Rule.DRAINS, Rule.SERVED, Rule.AGREES), batch_cut,
-           "of a batch only the last three events count"),
+    Defect(
+        "batch-cut",
+        "state",
+        (Rule.DRAINS, Rule.SERVED, Rule.AGREES),
+        batch_cut,
+        "of a batch only the last three events count",
+    ),
     Defect("watch-ends", "wire", (Rule.DRAINS,), watch_ends, "a watch that failed is not taken up again"),
     Defect("whole-not-said", "wire", (Rule.AGREES, Rule.DRAINS), whole_not_said, "whole tables go out as changes"),
-    Defect("removals-not-written", "wire", (Rule.AGREES, Rule.DRAINS), zero_lines_dropped,
-           "lines with weight 0 are not written"),
+    Defect(
+        "removals-not-written",
+        "wire",
+        (Rule.AGREES, Rule.DRAINS),
+        zero_lines_dropped,
+        "lines with weight 0 are not written",
+    ),
     Defect("message-lost", "wire", (Rule.AGREES, Rule.DRAINS), message_lost, "some messages are not written"),
     Defect("exponents", "wire", (Rule.USABLE,), exponents, "weights are written with an exponent"),
-    Defect("bytes-never-given-back", "wire", (Rule.BOUNDED,), never_forgotten,
-           "what waited for a peer stays counted"),
-    Defect("strangers-kept", "wire", (Rule.BOUNDED, Rule.UPRIGHT), attended_for_ever,
-           "connections that ended stay in the list of strangers"),
+    Defect("bytes-never-given-back", "wire", (Rule.BOUNDED,), never_forgotten, "what waited for a peer stays counted"),
+    Defect(
+        "strangers-kept",
+        "wire",
+        (Rule.BOUNDED, Rule.UPRIGHT),
+        attended_for_ever,
+        "connections that ended stay in the list of strangers",
+    ),
     Defect("spoilt-kills", "wire", (Rule.UPRIGHT,), spoilt_kills, "a spoilt report raises an exception"),
     Defect("held-back", "forwarder", (Rule.PROMPT,), held_back, "a final answer waits for the client's time to end"),
 )
@@ -356,11 +415,13 @@
 
 FILE_DEFECTS: tuple[Defect, ...] = (
     Defect("no-rename", "files", (Rule.GENUINE,), written_in_place, "files are written in place"),
-    Defect("no-sequence-check", "files", (Rule.GENUINE,), sequence_unchecked,
-           "older files are applied after newer ones"),
+    Defect(
+        "no-sequence-check", "files", (Rule.GENUINE,), sequence_unchecked, "older files are applied after newer ones"
+    ),
     Defect("booking-forgotten", "files", (Rule.ONCE,), booking_forgotten, "ids of booking orders are not remembered"),
-    Defect("digest-unchecked", "files", (Rule.GENUINE,), digest_unchecked,
-           "a file's digest and signature are not checked"),
+    Defect(
+        "digest-unchecked", "files", (Rule.GENUINE,), digest_unchecked, "a file's digest and signature are not checked"
+    ),
     Defect("age-ignored", "files", (Rule.GENUINE,), age_ignored, "files are used after their time"),
 )
 ALL_DEFECTS = DEFECTS + FILE_DEFECTS
--- a/stackwheel/trials/discovery.py
+++ b/stackwheel/trials/discovery.py
@@ -12,8 +12,7 @@
 from stackwheel.trials.loop import Machine, VirtualLoop
 from stackwheel.trials.network import Address, Network, Transport
 
-LIFECYCLES = {Availability.READY: "in_service", Availability.DRAINING: "terminating",
-              Availability.GONE: "terminated"}
+LIFECYCLES = {Availability.READY: "in_service", Availability.DRAINING: "terminating", Availability.GONE: "terminated"}
 BEAT = 2.0  # s: an empty line so often on a watch while nothing changes
 CALL = 0.002  # s that a call takes; they are handled one after another
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -108,9 +107,17 @@
 class Discovery:
     """The list as it is told; `change` brings it forward."""
 
-    def __init__(self, loop: VirtualLoop, network: Network, machine: Machine, address: Address,
-                 zones: Sequence[str], planner_of: Callable[[Machine], int | None],
-                 told: Callable[[int | None, News], None], wrote: Callable[[Call, News], None]) -> None:
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        network: Network,
+        machine: Machine,
+        address: Address,
+        zones: Sequence[str],
+        planner_of: Callable[[Machine], int | None],
+        told: Callable[[int | None, News], None],
+        wrote: Callable[[Call, News], None],
+    ) -> None:
         self.loop, self.network, self.machine, self.address = loop, network, machine, address
         self.zones, self.planner_of, self.told, self.wrote = zones, planner_of, told, wrote
         self.records: dict[str, Record] = {}
@@ -187,8 +194,9 @@
         before = tuple(old for _, old in changed if old is not None)
         if before:
             self.spread(before, max(0, last - 1))
-            self.loop.at(self.loop.now + after, self.machine, self.spread, tuple(new for new, _ in changed),
-                         self.generation)
+            self.loop.at(
+                self.loop.now + after, self.machine, self.spread, tuple(new for new, _ in changed), self.generation
+            )
 
     def renumber(self) -> None:
         self.generation, self.log = 1, []
@@ -216,8 +224,11 @@
             call.write(HEAD)
             call.watching = True
             since = int(target.rpartition("since=")[2]) if "since=" in target else 0
-            if 0 < since <= self.generation and self.generation - since <= SINCE_MOST and (
-                    not self.log or since >= self.log[0][0] - 1):
+            if (
+                0 < since <= self.generation
+                and self.generation - since <= SINCE_MOST
+                and (not self.log or since >= self.log[0][0] - 1)
+            ):
                 latest = {record.name: record for generation, record, _ in self.log if generation > since}
                 call.tell(tuple(latest.values()), False, self.generation)
             else:
@@ -232,7 +243,20 @@
         return json.dumps(self.document(records, whole, generation), separators=(",", ":")).encode() + b"\n"
 
     def document(self, records: Sequence[Record], whole: bool, generation: int) -> dict[str, object]:
-        return {"generation": generation, "reset": whole, "instances": [
-            {"instanceId": r.name, "hostPort": r.host, "zone": self.zones[r.zone], "machineType": f"kind-{r.kind}",
-             "cell": 0, "lifecycle": LIFECYCLES[r.state], "weight": 1.0, "startedAtMs": r.started}
-            for r in records]}
+        return {
+            "generation": generation,
+            "reset": whole,
+            "instances": [
+                {
+                    "instanceId": r.name,
+                    "hostPort": r.host,
+                    "zone": self.zones[r.zone],
+                    "machineType": f"kind-{r.kind}",
+                    "cell": 0,
+                    "lifecycle": LIFECYCLES[r.state],
+                    "weight": 1.0,
+                    "startedAtMs": r.started,
+                }
+                for r in records
+            ],
+        }
--- a/stackwheel/trials/disks.py
+++ b/stackwheel/trials/disks.py
@@ -70,11 +70,11 @@
     def names(self, path: str) -> list[str]:
         self.fail()
         start = path.rstrip("/") + "/"
-        inside = [name[len(start):] for name in self.files if name.startswith(start)]
+        inside = [name[len(start) :] for name in self.files if name.startswith(start)]
         return sorted(dict.fromkeys(name.partition("/")[0] for name in inside))
 
     def read(self, path: str, most: int) -> bytes:
         self.fail()
         if path not in self.files:
             raise OSError(errno.ENOENT, "No such file or directory")
-        return self.files[path][:most + 1]
+        return self.files[path][: most + 1]
--- a/stackwheel/trials/draw.py
+++ b/stackwheel/trials/draw.py
@@ -42,8 +42,14 @@
 BACKLOG_SECONDS = (1.5, 2.0, 2.0, 2.0)  # of the channel's rate that may wait
 CLASSES: tuple[tuple[tuple[s.Class, ...], float], ...] = (
     ((s.Class("read", 0.7, 120.0), s.Class("write", 0.3, 240.0, 1000.0, 3000.0, 5.0, "once")), 4),
-    ((s.Class("look", 0.5, 120.0), s.Class("save", 0.3, 200.0, 1000.0, 3000.0, 3.0, "by_key", "zone"),
-      s.Class("book", 0.2, 240.0, 1000.0, 3000.0, 5.0, "once")), 3),
+    (
+        (
+            s.Class("look", 0.5, 120.0),
+            s.Class("save", 0.3, 200.0, 1000.0, 3000.0, 3.0, "by_key", "zone"),
+            s.Class("book", 0.2, 240.0, 1000.0, 3000.0, 5.0, "once"),
+        ),
+        3,
+    ),
     ((s.Class("near", 0.4, 120.0, zone_bound=True), s.Class("any", 0.6, 160.0)), 1),
     ((s.Class("only", 1.0, 160.0, 400.0, 1500.0, 1.0, "once"),), 1),
 )
@@ -91,10 +97,16 @@
 
 def cut(d: Drawing) -> s.Fault:
     ways: tuple[tuple[s.Names, s.Names], ...] = (
-        (d.proxies(0.6), ("planners",)), (d.proxies(0.6), d.planners()), (d.planners(), ("discovery",)),
-        (("planners",), ("planners",)), ((f"zone-{d.chance.randrange(d.shape.zones)}",), d.planners()),
-        (zone := (f"zone-{d.chance.randrange(d.shape.zones)}",), tuple(
-            f"zone-{n}" for n in range(d.shape.zones) if f"zone-{n}" not in zone) or ("planners",)))
+        (d.proxies(0.6), ("planners",)),
+        (d.proxies(0.6), d.planners()),
+        (d.planners(), ("discovery",)),
+        (("planners",), ("planners",)),
+        ((f"zone-{d.chance.randrange(d.shape.zones)}",), d.planners()),
+        (
+            zone := (f"zone-{d.chance.randrange(d.shape.zones)}",),
+            tuple(f"zone-{n}" for n in range(d.shape.zones) if f"zone-{n}" not in zone) or ("planners",),
+        ),
+    )
     source, target = d.chance.choice(ways)
     if d.chance.random() < 0.5:
         source, target = target, source
@@ -114,8 +126,9 @@
 
 
 def lose_zone(d: Drawing) -> s.Fault:
-    return s.LoseZone(d.when(), d.chance.randrange(d.shape.zones), d.time(3.0, 10.0), d.chance.random() < 0.4,
-                      d.chance.random() < 0.3)
+    return s.LoseZone(
+        d.when(), d.chance.randrange(d.shape.zones), d.time(3.0, 10.0), d.chance.random() < 0.4, d.chance.random() < 0.3
+    )
 
 
 KINDS: tuple[tuple[Callable[[Drawing], s.Fault], float], ...] = (
@@ -141,8 +154,15 @@
     (lambda d: s.Reports(d.when(), d.time(3.0, 10.0), d.time(0.2, 3.0), d.time(0.0, 0.3), d.chance.random() < 0.3), 2),
     (lambda d: s.Datagrams(d.when(), d.time(3.0, 15.0), d.time(0.1, 1.0), d.time(0.0, 0.3), d.time(0.0, 0.5)), 1),
     (lambda d: s.Way(d.when(), d.time(2.0, 10.0), d.time(1.0, 50.0), d.time(0.0, 1.0), d.time(1.0, 2.0)), 2),
-    (lambda d: s.Strangers(d.when(), d.chance.randint(1, 20), f"planner-{d.chance.randrange(d.shape.planners)}",
-                           d.chance.choice(("nothing", "half", "http", "noise", "ping", "false_join"))), 1),
+    (
+        lambda d: s.Strangers(
+            d.when(),
+            d.chance.randint(1, 20),
+            f"planner-{d.chance.randrange(d.shape.planners)}",
+            d.chance.choice(("nothing", "half", "http", "noise", "ping", "false_join")),
+        ),
+        1,
+    ),
 )
 
 
@@ -157,10 +177,28 @@
 
 
 FILE_KINDS: tuple[tuple[Callable[[Drawing], s.Fault], float], ...] = (
-    (lambda d: s.Pushes(d.when(), d.time(2.0, 8.0), d.time(0.0, 4.0), d.time(0.0, 0.3) * (d.chance.random() < 0.5),
-                        d.time(0.0, 0.5), d.time(0.0, 0.5), d.time(0.0, 0.6)), 10),
-    (lambda d: s.Disks(d.when(), d.planners() if d.chance.random() < 0.6 else d.proxies(0.5), d.time(1.0, 6.0),
-                       d.chance.choice(("full", "gone", "slow")), d.time(0.2, 1.5)), 4),
+    (
+        lambda d: s.Pushes(
+            d.when(),
+            d.time(2.0, 8.0),
+            d.time(0.0, 4.0),
+            d.time(0.0, 0.3) * (d.chance.random() < 0.5),
+            d.time(0.0, 0.5),
+            d.time(0.0, 0.5),
+            d.time(0.0, 0.6),
+        ),
+        10,
+    ),
+    (
+        lambda d: s.Disks(
+            d.when(),
+            d.planners() if d.chance.random() < 0.6 else d.proxies(0.5),
+            d.time(1.0, 6.0),
+            d.chance.choice(("full", "gone", "slow")),
+            d.time(0.2, 1.5),
+        ),
+        4,
+    ),
 )
 
 
--- a/stackwheel/trials/events.py
+++ b/stackwheel/trials/events.py
@@ -17,9 +17,14 @@
 if TYPE_CHECKING:
     from stackwheel.trials.world import World
 
-NOISE = {"nothing": b"", "half": b"SUBSCRIBE id=0 si", "http": b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
-         "noise": bytes(range(128, 256)) * 40, "ping": b"PING\r\n",
-         "false_join": b"SUBSCRIBE id=99999 site=z0 rps=1 new=1\r\n"}
+NOISE = {
+    "nothing": b"",
+    "half": b"SUBSCRIBE id=0 si",
+    "http": b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+    "noise": bytes(range(128, 256)) * 40,
+    "ping": b"PING\r\n",
+    "false_join": b"SUBSCRIBE id=99999 site=z0 rps=1 new=1\r\n",
+}
 
 
 @singledispatch
@@ -325,7 +330,8 @@
 def _(fault: s.Pushes, world: World) -> None:
     if world.exchange is not None:
         world.exchange.set_trouble(
-            PushTrouble(fault.late, fault.doubled, fault.torn, fault.old, fault.lost), fault.span)
+            PushTrouble(fault.late, fault.doubled, fault.torn, fault.old, fault.lost), fault.span
+        )
 
 
 @happen.register(s.Disks)
--- a/stackwheel/trials/exchange.py
+++ b/stackwheel/trials/exchange.py
@@ -85,6 +85,7 @@
 
     def aside(self, disk: TrialDisk) -> Callable[..., Any]:
         """In place of a thread: the disk's time passes, then the work is done."""
+
         async def run(work: Callable[..., Any], *about: Any) -> Any:
             await asyncio.sleep(disk.slow)
             return work(*about)
@@ -95,12 +96,27 @@
 
     def extras(self, host: PlannerHost, service: Service) -> list[Any]:
         disk, config = self.disks[host.machine.name], service.config
-        ledger = Ledger(config.name, config.names, config.settings.proxies, Terms(LIFE, 10, config.settings.cycle),
-                        service.roster.ids.name, config.seed & 0xFFFF)
+        ledger = Ledger(
+            config.name,
+            config.names,
+            config.settings.proxies,
+            Terms(LIFE, 10, config.settings.cycle),
+            service.roster.ids.name,
+            config.seed & 0xFFFF,
+        )
         cap = config.settings.message_cap
         pusher = Pusher(Pace(cap, config.settings.message_window, 50.0), config.seed)
-        desk = FileDesk(ledger, pusher, Folders("/out", "/answers"), disk, service.clock.now,
-                        lambda item: self.heard(host, service, item), KEYS, self.aside(disk), 0.1)
+        desk = FileDesk(
+            ledger,
+            pusher,
+            Folders("/out", "/answers"),
+            disk,
+            service.clock.now,
+            lambda item: self.heard(host, service, item),
+            KEYS,
+            self.aside(disk),
+            0.1,
+        )
         host.desk = desk
         return [desk]
 
@@ -120,8 +136,10 @@
         for host in world.hosts:
             if host.running and host.desk is not None and host.desk.ledger.incarnation is not None:
                 self.ordered += 1
-                host.desk.ledger.book(Booking(f"b{self.ordered}", world.shape.classes[-1].name, 1,
-                                              self.now() + 15_000.0, self.now()), self.now())
+                host.desk.ledger.book(
+                    Booking(f"b{self.ordered}", world.shape.classes[-1].name, 1, self.now() + 15_000.0, self.now()),
+                    self.now(),
+                )
         world.loop.at(world.loop.now + BOOK_EVERY, None, self.book)
 
     # pushes
@@ -133,7 +151,8 @@
         kind, _, number = place.partition("-")
         for proxy in self.world.proxies:
             if (kind == "zone" and self.world.zones[proxy.zone] == number) or (
-                    kind == "proxy" and str(proxy.number) == number):
+                kind == "proxy" and str(proxy.number) == number
+            ):
                 self.push(host.machine, proxy, f"/{kind}/{name}", data)
         self.history = [*self.history[-HISTORY_MOST:], (path, data)]
 
@@ -153,8 +172,13 @@
         if self.history and chance.random() < trouble.old:
             old_path, old = chance.choice(self.history)
             name = old_path.rpartition("/")[2]
-            world.loop.at(world.loop.now + late + chance.random(), None, disk.files.__setitem__,
-                          path.rpartition("/")[0] + "/" + name, old)
+            world.loop.at(
+                world.loop.now + late + chance.random(),
+                None,
+                disk.files.__setitem__,
+                path.rpartition("/")[0] + "/" + name,
+                old,
+            )
 
     @staticmethod
     def copy_part(disk: TrialDisk, path: str, data: bytes, cut: int) -> None:
@@ -180,8 +204,13 @@
 
     def cut(self) -> None:
         """A cut has begun: forwarders across it count as left until an answer has passed again."""
-        self.leave([proxy for proxy, planner in self.joined.items()
-                    if self.world.between_cut(self.world.proxies[proxy], planner)])
+        self.leave(
+            [
+                proxy
+                for proxy, planner in self.joined.items()
+                if self.world.between_cut(self.world.proxies[proxy], planner)
+            ]
+        )
 
     # forwarders
 
@@ -206,8 +235,11 @@
             self.world.checker.joined(proxy.number, host.number, self.world.ms())
 
     def sound(self, proxy: Proxy, planner: int) -> bool:
-        return (self.trouble == PushTrouble() and self.world.loop.now >= self.quiet_from
-                and not self.world.between_cut(proxy, planner))
+        return (
+            self.trouble == PushTrouble()
+            and self.world.loop.now >= self.quiet_from
+            and not self.world.between_cut(proxy, planner)
+        )
 
     def take(self, proxy: Proxy, taken: Taken) -> None:
         """A reader says that it uses a file: it has to be genuine, newer than the last, and its orders new."""
@@ -224,8 +256,9 @@
         for order in taken.bookings:
             done = self.effects[proxy.number, order.id] = self.effects.get((proxy.number, order.id), 0) + 1
             if done > 1:
-                self.world.checker.break_rule(self.world.ms(), Rule.ONCE,
-                                             f"booking order {order.id} took effect {done} times", None, proxy.number)
+                self.world.checker.break_rule(
+                    self.world.ms(), Rule.ONCE, f"booking order {order.id} took effect {done} times", None, proxy.number
+                )
 
 
 class Driver:
@@ -236,9 +269,14 @@
         self.disk = exchange.disks[proxy.machine.name]
         self.disk.renamed = lambda path, data: exchange.answer_written(proxy, path, data)
         zone = exchange.world.zones[proxy.zone]
-        self.reader = Reader(Place(zone, proxy.number, ("/zone", "/proxy"), "/answers", "/state"), self.disk,
-                             exchange.now, lambda: KEYS, exchange.aside(self.disk),
-                             int(exchange.world.loop.now * 1000) & 0xFFFF)
+        self.reader = Reader(
+            Place(zone, proxy.number, ("/zone", "/proxy"), "/answers", "/state"),
+            self.disk,
+            exchange.now,
+            lambda: KEYS,
+            exchange.aside(self.disk),
+            int(exchange.world.loop.now * 1000) & 0xFFFF,
+        )
         self.prevailing = Prevailing(Allowed(keep=KEEP))
         self.shown: tuple[Source, Content] | None = None
         self.reported = exchange.world.loop.now
@@ -272,8 +310,9 @@
         for held in proxy.holdings.routes.values():
             proxy.holdings.refresh(held)
         proxy.fresh = False
-        self.exchange.world.checker.note(self.exchange.world.ms(), f"goes by {choice.source.value}",
-                                         f"proxy-{proxy.number}")
+        self.exchange.world.checker.note(
+            self.exchange.world.ms(), f"goes by {choice.source.value}", f"proxy-{proxy.number}"
+        )
         proxy.tell_lines()
 
     async def answer(self) -> None:
@@ -281,9 +320,14 @@
         world, proxy = self.exchange.world, self.proxy
         over = (world.loop.now - self.reported) * 1000.0
         self.reported = world.loop.now
-        came = [Came(route, count, failed) for route, count, failed in
-                zip(proxy.routes, proxy.came, proxy.unserved, strict=True) if count]
-        met = [Met(name, int(m[0]), int(m[1]), m[2] / max(1.0, m[0] - m[1]), world.load_of(name))
-               for name, m in proxy.met.items()]
+        came = [
+            Came(route, count, failed)
+            for route, count, failed in zip(proxy.routes, proxy.came, proxy.unserved, strict=True)
+            if count
+        ]
+        met = [
+            Met(name, int(m[0]), int(m[1]), m[2] / max(1.0, m[0] - m[1]), world.load_of(name))
+            for name, m in proxy.met.items()
+        ]
         proxy.came, proxy.unserved, proxy.met = [0] * len(proxy.routes), [0] * len(proxy.routes), {}
         await self.reader.answer(proxy.rate(), over, came, met, proxy.fresh)
--- a/stackwheel/trials/loop.py
+++ b/stackwheel/trials/loop.py
@@ -51,8 +51,14 @@
 
     __slots__ = ("args", "at", "callback", "context", "machine", "stopped")
 
-    def __init__(self, callback: Step, args: tuple[object, ...], context: contextvars.Context | None,
-                 machine: Machine | None, at: float) -> None:
+    def __init__(
+        self,
+        callback: Step,
+        args: tuple[object, ...],
+        context: contextvars.Context | None,
+        machine: Machine | None,
+        at: float,
+    ) -> None:
         self.callback, self.args, self.context = callback, args, context
         self.machine, self.at, self.stopped = machine, at, False
 
@@ -154,19 +160,33 @@
     def time(self) -> float:
         return self.now
 
-    def call_soon(self, callback: Step, *args: object,  # type: ignore[override]
-                  context: contextvars.Context | None = None) -> Handle:
+    def call_soon(  # type: ignore[override]
+        self,
+        callback: Step,
+        *args: object,
+        context: contextvars.Context | None = None,
+    ) -> Handle:
         handle = Handle(callback, args, context, self.machine, self.now)
         if not self.closed:
             self.ready.append(handle)
         return handle
 
-    def call_later(self, delay: float, callback: Step, *args: object,  # type: ignore[override]
-                   context: contextvars.Context | None = None) -> Handle:
+    def call_later(  # type: ignore[override]
+        self,
+        delay: float,
+        callback: Step,
+        *args: object,
+        context: contextvars.Context | None = None,
+    ) -> Handle:
         return self.call_at(self.now + max(0.0, delay), callback, *args, context=context)
 
-    def call_at(self, when: float, callback: Step, *args: object,  # type: ignore[override]
-                context: contextvars.Context | None = None) -> Handle:
+    def call_at(  # type: ignore[override]
+        self,
+        when: float,
+        callback: Step,
+        *args: object,
+        context: contextvars.Context | None = None,
+    ) -> Handle:
         handle = Handle(callback, args, context, self.machine, when)
         if not self.closed:
             self.made += 1
@@ -176,9 +196,13 @@
     def create_future(self) -> asyncio.Future[Any]:
         return asyncio.Future(loop=self)
 
-    def create_task(self, coro: Generator[Any, None, T] | Coroutine[Any, Any, T],
-                    *, name: str | None = None,
-                    context: contextvars.Context | None = None) -> asyncio.Task[T]:
+    def create_task(
+        self,
+        coro: Generator[Any, None, T] | Coroutine[Any, Any, T],
+        *,
+        name: str | None = None,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.Task[T]:
         task: asyncio.Task[T] = asyncio.Task(coro, loop=self, name=name, context=context)
         task._log_destroy_pending = False  # type: ignore[attr-defined]
         if self.machine is not None:
@@ -210,9 +234,15 @@
             callback, args = machine.signals[sig]
             self.at(self.now, machine, callback, *args)
 
-    async def create_connection(self, protocol_factory: Callable[[], Any],
-                                host: str | None = None, port: int | None = None, *, sock: Any = None,
-                                **_: object) -> tuple[Any, Any]:
+    async def create_connection(
+        self,
+        protocol_factory: Callable[[], Any],
+        host: str | None = None,
+        port: int | None = None,
+        *,
+        sock: Any = None,
+        **_: object,
+    ) -> tuple[Any, Any]:
         assert self.network is not None
         if sock is not None:
             attended: tuple[Any, Any] = sock.attend(protocol_factory())
@@ -223,8 +253,12 @@
         made: tuple[Any, Any] = await opened
         return made
 
-    async def create_datagram_endpoint(self, protocol_factory: Callable[[], Any],  # type: ignore[override]
-                                       local_addr: Any = None, **_: object) -> tuple[Any, Any]:
+    async def create_datagram_endpoint(  # type: ignore[override]
+        self,
+        protocol_factory: Callable[[], Any],
+        local_addr: Any = None,
+        **_: object,
+    ) -> tuple[Any, Any]:
         assert self.network is not None and self.machine is not None
         return self.network.bind(self.machine, local_addr, protocol_factory())
 
--- a/stackwheel/trials/measure.py
+++ b/stackwheel/trials/measure.py
@@ -13,8 +13,21 @@
 from stackwheel.trials.world import World
 
 SIZES = ((2, 8, 8), (2, 20, 20), (2, 50, 30), (3, 100, 50), (4, 200, 100), (4, 500, 150))
-CHECKS = ("advance", "sent", "effect", "answered", "forget_request", "lines", "queued", "wrote", "tell", "joined",
-          "left", "cold_load", "note")
+CHECKS = (
+    "advance",
+    "sent",
+    "effect",
+    "answered",
+    "forget_request",
+    "lines",
+    "queued",
+    "wrote",
+    "tell",
+    "joined",
+    "left",
+    "cold_load",
+    "note",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,11 +49,17 @@
 
 
 def script(planners: int, proxies: int, servers: int, span: float) -> s.Script:
-    shape = s.Shape(planners=planners, proxies=proxies, servers=servers, zones=min(4, planners), cap=20,
-                    channel_rate=3000.0, backlog=9000.0)
+    shape = s.Shape(
+        planners=planners,
+        proxies=proxies,
+        servers=servers,
+        zones=min(4, planners),
+        cap=20,
+        channel_rate=3000.0,
+        backlog=9000.0,
+    )
     third = tuple(f"server-{n}" for n in range(servers // 6))
-    return s.Script(1, span, shape, (
-        s.Drain(span * 0.4, third, 3.0), s.Kill(span * 0.6, ("planner-0",), 0.5)))
+    return s.Script(1, span, shape, (s.Drain(span * 0.4, third, 3.0), s.Kill(span * 0.6, ("planner-0",), 0.5)))
 
 
 class Stopwatch:
@@ -74,5 +93,14 @@
         again.run()
         share = watch.spent / max(1e-9, time.process_time() - began)
         memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0
-        yield Row(planners, proxies, servers, cpu / span, found.steps / span, found.requests / span, share,
-                  len(found.verdicts), memory)
+        yield Row(
+            planners,
+            proxies,
+            servers,
+            cpu / span,
+            found.steps / span,
+            found.requests / span,
+            share,
+            len(found.verdicts),
+            memory,
+        )
--- a/stackwheel/trials/network.py
+++ b/stackwheel/trials/network.py
@@ -228,8 +228,7 @@
 
 
 class Network:
-    def __init__(self, loop: VirtualLoop, chance: random.Random,
-                 latency: Callable[[Machine, Machine], float]) -> None:
+    def __init__(self, loop: VirtualLoop, chance: random.Random, latency: Callable[[Machine, Machine], float]) -> None:
         self.loop, self.chance, self.latency = loop, chance, latency
         self.now = Conditions()
         self.listeners: dict[Address, Listener] = {}
@@ -298,22 +297,26 @@
         self.listeners[address] = listener = Listener(machine, self.loop, make)
         return listener
 
-    def dial(self, machine: Machine, address: Address, protocol: Any,
-             opened: asyncio.Future[Any] | None = None) -> None:
+    def dial(
+        self, machine: Machine, address: Address, protocol: Any, opened: asyncio.Future[Any] | None = None
+    ) -> None:
         """Connect; asyncio's caller waits on `opened`, a scripted peer hears connection_made or _lost."""
         self.syn(machine, address, protocol, opened, 0)
 
-    def syn(self, machine: Machine, address: Address, protocol: Any, opened: asyncio.Future[Any] | None,
-            tries: int) -> None:
+    def syn(
+        self, machine: Machine, address: Address, protocol: Any, opened: asyncio.Future[Any] | None, tries: int
+    ) -> None:
         target = self.hosts.get(address[0])
         if opened is not None and opened.cancelled():
             return
-        quiet = target is None or target in self.vanished or (
-            self.is_cut(machine, target) or self.is_cut(target, machine))
+        quiet = (
+            target is None or target in self.vanished or (self.is_cut(machine, target) or self.is_cut(target, machine))
+        )
         if target is None or quiet:
             if tries < len(SYN_AGAIN):
-                self.loop.at(self.loop.now + SYN_AGAIN[tries], machine, self.syn, machine, address, protocol,
-                             opened, tries + 1)
+                self.loop.at(
+                    self.loop.now + SYN_AGAIN[tries], machine, self.syn, machine, address, protocol, opened, tries + 1
+                )
             elif opened is None:
                 self.loop.at(self.loop.now, machine, protocol.connection_lost, TimeoutError("no answer"))
             return
@@ -387,8 +390,13 @@
     def deliver(self, end: Transport, piece: Piece) -> None:
         """Put something on its way to an end, behind what is on its way already."""
         if end.lost:
-            if end.dropped and not end.far.closing and not end.swallow and not isinstance(piece, Ending) and not (
-                    self.is_cut(end.machine, end.far.machine) or self.is_cut(end.far.machine, end.machine)):
+            if (
+                end.dropped
+                and not end.far.closing
+                and not end.swallow
+                and not isinstance(piece, Ending)
+                and not (self.is_cut(end.machine, end.far.machine) or self.is_cut(end.far.machine, end.machine))
+            ):
                 self.deliver(end.far, Ending(ConnectionResetError("reset by peer")))
             return
         way = self.delay(end.far.machine, end.machine)
@@ -409,8 +417,9 @@
             return
         for _ in range(1 + (self.chance.random() < self.now.doubled)):
             late = DATAGRAM_LATE * self.chance.random() * (self.chance.random() < self.now.reordered)
-            self.loop.at(self.loop.now + self.delay(end.machine, target) + late, target, self.catch, data,
-                         end.local, address)
+            self.loop.at(
+                self.loop.now + self.delay(end.machine, target) + late, target, self.catch, data, end.local, address
+            )
 
     def catch(self, data: bytes, source: Address, address: Address) -> None:
         if address in self.datagrams:
--- a/stackwheel/trials/planners.py
+++ b/stackwheel/trials/planners.py
@@ -25,25 +25,61 @@
     """The settings as the platform hands them to an instance."""
     shape = world.shape
     return {
-        "me": number, "instances": shape.planners, "zone": number % shape.zones, "zones": list(world.zones),
-        "kinds": ["kind-0", "kind-1"], "tick": 2.0, "weight_kind": "off",
+        "me": number,
+        "instances": shape.planners,
+        "zone": number % shape.zones,
+        "zones": list(world.zones),
+        "kinds": ["kind-0", "kind-1"],
+        "tick": 2.0,
+        "weight_kind": "off",
         "discovery": "on_request" if shape.on_request else "pushed",
-        "load_report": {"columns": ["inflight"] if shape.reports else [],
-                        "source": "inline" if shape.reports else "off"},
-        "bounds": {"peers": shape.peers, "probes": shape.probes}, "deductions": {"cross_zone": 0.1},
-        "services": [{"name": c.name, "target": c.aim, "deadline": c.deadline, "worth": c.worth,
-                      "effect": c.effect, "group": c.group, "key_ttl": c.key_window} for c in shape.classes],
+        "load_report": {
+            "columns": ["inflight"] if shape.reports else [],
+            "source": "inline" if shape.reports else "off",
+        },
+        "bounds": {"peers": shape.peers, "probes": shape.probes},
+        "deductions": {"cross_zone": 0.1},
+        "services": [
+            {
+                "name": c.name,
+                "target": c.aim,
+                "deadline": c.deadline,
+                "worth": c.worth,
+                "effect": c.effect,
+                "group": c.group,
+                "key_ttl": c.key_window,
+            }
+            for c in shape.classes
+        ],
         "family_info": {
-            "agents": shape.proxies, "backlog": shape.backlog, "channel_rate": shape.channel_rate,
-            "cycle": shape.cycle, "exclusive": False, "key_ranges": 0, "lb_method": shape.pick,
-            "level_kind": shape.admission, "messages_over": 10000.0, "overhead": shape.overhead,
-            "strikes": shape.strikes, "transit": shape.transit, "try_factor": 0.8,
-            "unserved_max": shape.unserved_max, "update_cap": shape.cap, "usual_how": shape.usual_retry,
-            "zone_bound": [c.zone_bound for c in shape.classes]},
+            "agents": shape.proxies,
+            "backlog": shape.backlog,
+            "channel_rate": shape.channel_rate,
+            "cycle": shape.cycle,
+            "exclusive": False,
+            "key_ranges": 0,
+            "lb_method": shape.pick,
+            "level_kind": shape.admission,
+            "messages_over": 10000.0,
+            "overhead": shape.overhead,
+            "strikes": shape.strikes,
+            "transit": shape.transit,
+            "try_factor": 0.8,
+            "unserved_max": shape.unserved_max,
+            "update_cap": shape.cap,
+            "usual_how": shape.usual_retry,
+            "zone_bound": [c.zone_bound for c in shape.classes],
+        },
         "obligations": {
-            "ask_within": shape.ask_within, "cold": shape.cold, "cold_share": shape.cold_share,
-            "drain_grace": shape.drain_grace, "fall_multiple": shape.fall_multiple,
-            "only_draining_binds": shape.only_draining_binds, "overload_for": shape.overload_for}}
+            "ask_within": shape.ask_within,
+            "cold": shape.cold,
+            "cold_share": shape.cold_share,
+            "drain_grace": shape.drain_grace,
+            "fall_multiple": shape.fall_multiple,
+            "only_draining_binds": shape.only_draining_binds,
+            "overload_for": shape.overload_for,
+        },
+    }
 
 
 class PlannerHost:
@@ -66,14 +102,20 @@
     def document(self) -> dict[str, Any]:
         world = self.world
         peers = [f"10.0.0.{n + 1}:7946" for n in range(world.shape.planners)]
-        return {"name": f"planner-{self.number}", "listen": f"{self.host}:8081",
-                "discovery": "{}:{}".format(*self.discovery),
-                "seed": f"{self.world.script.seed * 1000 + self.lives * 16 + self.number:x}",
-                "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 1024},
-                "peer_listen": f"{self.host}:7946", "peers": peers, "peers_all": "10.3.255.1:7946",
-                "known": world.discovery.document(tuple(world.discovery.records.values()), True,
-                                                  world.discovery.generation),
-                "settings": settings_document(world, self.number)}
+        return {
+            "name": f"planner-{self.number}",
+            "listen": f"{self.host}:8081",
+            "discovery": "{}:{}".format(*self.discovery),
+            "seed": f"{self.world.script.seed * 1000 + self.lives * 16 + self.number:x}",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 1024},
+            "peer_listen": f"{self.host}:7946",
+            "peers": peers,
+            "peers_all": "10.3.255.1:7946",
+            "known": world.discovery.document(
+                tuple(world.discovery.records.values()), True, world.discovery.generation
+            ),
+            "settings": settings_document(world, self.number),
+        }
 
     def load(self) -> Config | ConfigError:
         try:
@@ -97,9 +139,12 @@
         exchange = world.exchange
         around = Surroundings(
             extras=partial(exchange.extras, self) if exchange is not None else no_extras,
-            wall=lambda: EPOCH + loop.now, steady=lambda: loop.now, load=self.load,
+            wall=lambda: EPOCH + loop.now,
+            steady=lambda: loop.now,
+            load=self.load,
             listen_at=lambda address: cast(socket.socket, world.network.listen(self.machine, self.address)),
-            signals_on=lambda: world.planner_up(self))
+            signals_on=lambda: world.planner_up(self),
+        )
         previous, loop.machine = loop.machine, self.machine
         try:
             self.service = Service(config, around)
@@ -121,8 +166,9 @@
 
     # what can be seen
 
-    def believed(self, proxy: int) -> tuple[Mapping[int, Mapping[str, float]],
-                                            Mapping[int, tuple[float, int] | None], Mapping[str, bool]] | None:
+    def believed(
+        self, proxy: int
+    ) -> tuple[Mapping[int, Mapping[str, float]], Mapping[int, tuple[float, int] | None], Mapping[str, bool]] | None:
         """By class the lines and the level that it believes a proxy to hold, and what it has shut out there;
         None while something it sent is unanswered, or there is no stream."""
         assert self.service is not None
@@ -133,8 +179,11 @@
         lines: dict[int, dict[str, float]] = {}
         levels: dict[int, tuple[float, int] | None] = {}
         for place, table in stream.bound.items():
-            lines[place] = {name: weight for server, weight in module.orders.tables.get(table, {}).items()
-                            if (name := ids.name(server)) is not None}
+            lines[place] = {
+                name: weight
+                for server, weight in module.orders.tables.get(table, {}).items()
+                if (name := ids.name(server)) is not None
+            }
             level = module.orders.level(place, table)
             levels[place] = None if level is None else (level[0], int(level[1]))
         shut = {name: out for server, out in stream.shut.items() if (name := ids.name(server)) is not None}
--- a/stackwheel/trials/proxies.py
+++ b/stackwheel/trials/proxies.py
@@ -166,8 +166,9 @@
         if old is not None and old.transport is not None:
             old.broken = True
             old.transport.abort()
-        stream.say(f"SUBSCRIBE id={self.number} site={self.world.zones[self.zone]} rps={self.rate():.1f} "
-                   f"new={int(self.fresh)}")
+        stream.say(
+            f"SUBSCRIBE id={self.number} site={self.world.zones[self.zone]} rps={self.rate():.1f} new={int(self.fresh)}"
+        )
 
     def rate(self) -> float:
         return self.usual * self.factor
@@ -268,8 +269,9 @@
             self.refuse(stream, str(error))
             return
         self.fresh = False
-        self.world.checker.note(self.world.ms(), f"applied {order.cost()} lines", f"proxy-{self.number}",
-                                f"planner-{stream.planner}")
+        self.world.checker.note(
+            self.world.ms(), f"applied {order.cost()} lines", f"proxy-{self.number}", f"planner-{stream.planner}"
+        )
         self.tell_lines()
         took = (self.world.loop.now - entered) * 1000.0
         for mark in order.marks():
@@ -284,8 +286,11 @@
 
     def usage(self) -> list[str]:
         over = max(1.0, (self.world.loop.now - self.reported) * 1000.0)
-        lines = [f"RATE id={self.number} lane={name} count={count} fail={fail} over={over:.1f}"
-                 for name, count, fail in zip(self.routes, self.came, self.unserved, strict=True) if count]
+        lines = [
+            f"RATE id={self.number} lane={name} count={count} fail={fail} over={over:.1f}"
+            for name, count, fail in zip(self.routes, self.came, self.unserved, strict=True)
+            if count
+        ]
         self.reported = self.world.loop.now
         self.came, self.unserved = [0] * len(self.routes), [0] * len(self.routes)
         return lines
@@ -334,8 +339,9 @@
         self.kept_off = {name: until for name, until in self.kept_off.items() if until > now}
         return tuple(self.kept_off)
 
-    def end_try(self, request: Request, name: str, began: float, outcome: Outcome, retry: Retry,
-                machine: Machine) -> None:
+    def end_try(
+        self, request: Request, name: str, began: float, outcome: Outcome, retry: Retry, machine: Machine
+    ) -> None:
         if machine is not self.mind:
             return
         world, now = self.world, self.world.loop.now
@@ -408,8 +414,10 @@
         zone, over = self.world.zones[self.zone], self.world.shape.cycle
         for name, (tries, fails, took) in sums.items():
             mean = took / max(1.0, tries - fails)
-            self.waiting.append(f"LOAD site={zone} target={name} count={int(tries)} fail={int(fails)} "
-                                f"mean={mean:.1f} over={over:.1f}{self.world.load_report(name)}")
+            self.waiting.append(
+                f"LOAD site={zone} target={name} count={int(tries)} fail={int(fails)} "
+                f"mean={mean:.1f} over={over:.1f}{self.world.load_report(name)}"
+            )
         lines = [self.waiting.popleft() for _ in range(min(len(self.waiting), LOAD_LINES_MOST))]
         if lines:
             self.world.send_report(self.machine, self, lines)
--- a/stackwheel/trials/runner.py
+++ b/stackwheel/trials/runner.py
@@ -62,12 +62,18 @@
 
     def document(self) -> dict[str, object]:
         """The object that `--json` ends with."""
-        return {"seeds": self.seeds, "broken": [
-            {"seed": r.seed, "rule": v.rule.value, "at": round(v.at / 1000.0, 3)}
-            for r in self.broken for v in r.verdicts] + [
-            {"seed": r.seed, "rule": "the trial itself failed", "at": 0.0} for r in self.broken if r.fault],
-            "virtual_seconds": round(self.virtual_seconds, 3), "seconds": round(self.seconds, 3),
-            "digest": self.hasher.hexdigest()}
+        return {
+            "seeds": self.seeds,
+            "broken": [
+                {"seed": r.seed, "rule": v.rule.value, "at": round(v.at / 1000.0, 3)}
+                for r in self.broken
+                for v in r.verdicts
+            ]
+            + [{"seed": r.seed, "rule": "the trial itself failed", "at": 0.0} for r in self.broken if r.fault],
+            "virtual_seconds": round(self.virtual_seconds, 3),
+            "seconds": round(self.seconds, 3),
+            "digest": self.hasher.hexdigest(),
+        }
 
 
 def run_seed(seed: int, files: bool = False) -> SeedResult:
@@ -80,8 +86,16 @@
         found = run_script(script)
     except Exception:
         return SeedResult(script.seed, "", (), 0.0, time.process_time() - began, 0.0, 0, 0, traceback.format_exc())
-    return SeedResult(script.seed, found.digest, tuple(found.verdicts), found.virtual_seconds,
-                      time.process_time() - began, found.service, found.requests, found.steps)
+    return SeedResult(
+        script.seed,
+        found.digest,
+        tuple(found.verdicts),
+        found.virtual_seconds,
+        time.process_time() - began,
+        found.service,
+        found.requests,
+        found.steps,
+    )
 
 
 def run_chunk(seeds: Sequence[int]) -> list[SeedResult]:
@@ -97,14 +111,17 @@
     signal.signal(signal.SIGINT, signal.SIG_IGN)
 
 
-def run_seeds(seeds: Sequence[int], jobs: int, chunk: Callable[[Sequence[int]], list[SeedResult]] = run_chunk,
-              ) -> Iterator[SeedResult]:
+def run_seeds(
+    seeds: Sequence[int],
+    jobs: int,
+    chunk: Callable[[Sequence[int]], list[SeedResult]] = run_chunk,
+) -> Iterator[SeedResult]:
     """Results as they come, in order; closing it early leaves no process behind."""
     if jobs <= 1 or len(seeds) <= 1:
         for seed in seeds:
             yield from chunk([seed])
         return
-    chunks = [seeds[at:at + CHUNK] for at in range(0, len(seeds), CHUNK)]
+    chunks = [seeds[at : at + CHUNK] for at in range(0, len(seeds), CHUNK)]
     pool = ProcessPoolExecutor(jobs, initializer=leave_interrupts)
     under_way: dict[Future[list[SeedResult]], int] = {}
     done: dict[int, list[SeedResult]] = {}
--- a/stackwheel/trials/script.py
+++ b/stackwheel/trials/script.py
@@ -47,7 +47,9 @@
     proxies: Annotated[int, Meta(ge=1, le=5000)] = 8
     servers: Annotated[int, Meta(ge=1, le=2000)] = 8
     classes: Annotated[tuple[Class, ...], Meta(min_length=1, max_length=8)] = (
-        Class("read", 0.7, 120.0), Class("write", 0.3, 240.0, 1000.0, 3000.0, 5.0, "once"))
+        Class("read", 0.7, 120.0),
+        Class("write", 0.3, 240.0, 1000.0, 3000.0, 5.0, "once"),
+    )
     cores: Annotated[int, Meta(ge=1, le=64)] = 1
     use: Annotated[float, Meta(gt=0, le=5)] = 0.5  # of all capacity, by demand
     start_lines: Annotated[int, Meta(ge=1, le=64)] = 6  # of a proxy's standing table
@@ -281,9 +283,33 @@
     say: Literal["nothing", "half", "http", "noise", "ping", "false_join"] = "nothing"
 
 
-Fault = (Kill | Stall | Cut | Reset | HalfOpen | Doubled | MidMessage | Restart | Die | Drain | Replace | Fail
-         | Slow | LoseZone | Discovery | Older | Reload | Renumber | Demand | Reports | Datagrams | Way | Strangers
-         | Pushes | Disks)
+Fault = (
+    Kill
+    | Stall
+    | Cut
+    | Reset
+    | HalfOpen
+    | Doubled
+    | MidMessage
+    | Restart
+    | Die
+    | Drain
+    | Replace
+    | Fail
+    | Slow
+    | LoseZone
+    | Discovery
+    | Older
+    | Reload
+    | Renumber
+    | Demand
+    | Reports
+    | Datagrams
+    | Way
+    | Strangers
+    | Pushes
+    | Disks
+)
 
 
 class Script(Struct, frozen=True, forbid_unknown_fields=True):
@@ -376,8 +402,10 @@
 def words(script: Script) -> list[str]:
     """The script as a person would tell it, a line a fault."""
     shape = script.shape
-    told = [f"seed {script.seed}: {script.span:g} s, {shape.planners} planners, {shape.proxies} proxies, "
-            f"{shape.servers} servers in {shape.zones} zones, demand {shape.use:.0%} of capacity"]
+    told = [
+        f"seed {script.seed}: {script.span:g} s, {shape.planners} planners, {shape.proxies} proxies, "
+        f"{shape.servers} servers in {shape.zones} zones, demand {shape.use:.0%} of capacity"
+    ]
     for fault in sorted(script.faults, key=lambda f: f.at):
         fields = msgspec.structs.asdict(fault)
         kind = str(msgspec.to_builtins(fault)["kind"]).replace("_", " ")
--- a/stackwheel/trials/shrink.py
+++ b/stackwheel/trials/shrink.py
@@ -14,8 +14,12 @@
 RUNS_MOST = 400  # trials that one shrinking may take
 AFTER = 0.5  # s kept after the break
 FIELDS = ("planners", "proxies", "servers", "who", "source", "target")
-SMALLER: dict[str, tuple[int, ...]] = {"zones": (1, 2), "planners": (1, 2), "proxies": (1, 2, 4, 8),
-                                       "servers": (2, 4, 6, 8)}
+SMALLER: dict[str, tuple[int, ...]] = {
+    "zones": (1, 2),
+    "planners": (1, 2),
+    "proxies": (1, 2, 4, 8),
+    "servers": (2, 4, 6, 8),
+}
 
 
 @dataclass(slots=True)
@@ -27,8 +31,13 @@
 
 
 class Shrinker:
-    def __init__(self, script: Script, rule: Rule, runs_most: int = RUNS_MOST,
-                 breaks: Callable[[Script, Rule], float | None] | None = None) -> None:
+    def __init__(
+        self,
+        script: Script,
+        rule: Rule,
+        runs_most: int = RUNS_MOST,
+        breaks: Callable[[Script, Rule], float | None] | None = None,
+    ) -> None:
         self.best, self.rule, self.left = script, rule, runs_most
         self.breaks = breaks or when_broken
         self.at = 0.0
@@ -76,7 +85,7 @@
         while size >= 1 and self.best.faults:
             at = 0
             while at < len(self.best.faults):
-                faults = self.best.faults[:at] + self.best.faults[at + size:]
+                faults = self.best.faults[:at] + self.best.faults[at + size :]
                 if not self.keeps(msgspec.structs.replace(self.best, faults=faults)):
                     at += size
             size //= 2
@@ -85,15 +94,18 @@
         for place in range(len(self.best.faults)):
             for field in FIELDS:
                 at = 0
-                while at < len(names := getattr(self.best.faults[place], field, ())) and len(names) > 1 and (
-                        isinstance(names, tuple)):
-                    fewer = names[:at] + names[at + 1:]
+                while (
+                    at < len(names := getattr(self.best.faults[place], field, ()))
+                    and len(names) > 1
+                    and (isinstance(names, tuple))
+                ):
+                    fewer = names[:at] + names[at + 1 :]
                     fault = msgspec.structs.replace(self.best.faults[place], **{field: fewer})
                     if not self.keeps(self.with_fault(place, fault)):
                         at += 1
 
     def with_fault(self, place: int, fault: Fault) -> Script:
-        faults = (*self.best.faults[:place], fault, *self.best.faults[place + 1:])
+        faults = (*self.best.faults[:place], fault, *self.best.faults[place + 1 :])
         return msgspec.structs.replace(self.best, faults=faults)
 
     def reduce_shape(self) -> None:
--- a/stackwheel/trials/world.py
+++ b/stackwheel/trials/world.py
@@ -81,8 +81,9 @@
 
 
 class World:
-    def __init__(self, script: Script, patch: Callable[[World], None] | None = None,
-                 trace: Callable[[str], None] | None = None) -> None:
+    def __init__(
+        self, script: Script, patch: Callable[[World], None] | None = None, trace: Callable[[str], None] | None = None
+    ) -> None:
         self.script, self.shape = script, script.shape
         shape = self.shape
         self.trace = trace
@@ -119,8 +120,16 @@
         self.network.settle("10.8.0.1", self.outside)
         machine = Machine("discovery")
         self.network.settle("10.2.0.1", machine)
-        self.discovery = Discovery(self.loop, self.network, machine, ("10.2.0.1", 8500), self.zones,
-                                   self.planner_of, self.told, self.on_written)
+        self.discovery = Discovery(
+            self.loop,
+            self.network,
+            machine,
+            ("10.2.0.1", 8500),
+            self.zones,
+            self.planner_of,
+            self.told,
+            self.on_written,
+        )
         self.discovery.records = {s.name: self.record(s) for s in self.servers.values()}
         self.ever_listed.update(dict.fromkeys(self.servers))
         self.hosts: list[PlannerHost] = [PlannerHost(self, n) for n in range(shape.planners)]
@@ -193,21 +202,34 @@
 
     def heard_from(self, host: PlannerHost, stream: Stream, data: bytes) -> None:
         proxy = stream.proxy
-        if not stream.counted and not stream.broken and proxy.stream is stream and not (
-                self.between_cut(proxy, host.number)):
+        if (
+            not stream.counted
+            and not stream.broken
+            and proxy.stream is stream
+            and not (self.between_cut(proxy, host.number))
+        ):
             stream.counted = True
             self.checker.joined(proxy.number, host.number, self.ms())
         *lines, stream.taken = (stream.taken + data).split(b"\r\n")
         for line in lines:
-            if line.startswith(b"ACK ") and proxy.stream is stream and host.service is not None and (
-                    host.last_mark(proxy.number) == mark_of(line)) and self.quiet(host, stream):
+            if (
+                line.startswith(b"ACK ")
+                and proxy.stream is stream
+                and host.service is not None
+                and (host.last_mark(proxy.number) == mark_of(line))
+                and self.quiet(host, stream)
+            ):
                 self.compare(host, proxy)
 
     def quiet(self, host: PlannerHost, stream: Stream) -> bool:
         """Nothing more is on its way to a proxy, with a mark or without."""
         arrives = self.channels[host.number].arrives.get(stream.proxy.number, 0.0)
-        return (stream.transport is not None and stream.transport.unread == 0 and arrives <= self.loop.now
-                and not host.unsent(stream.proxy.number))
+        return (
+            stream.transport is not None
+            and stream.transport.unread == 0
+            and arrives <= self.loop.now
+            and not host.unsent(stream.proxy.number)
+        )
 
     def compare(self, host: PlannerHost, proxy: Proxy) -> None:
         """All that a planner sent has been applied: both hold the same."""
@@ -223,8 +245,9 @@
                 self.checker.break_rule(self.ms(), Rule.AGREES, f"class {place}: {why}", host.number, proxy.number)
         for server, out in shut.items():
             if (server in proxy.holdings.shut) != out:
-                self.checker.break_rule(self.ms(), Rule.AGREES, f"{server} shut out: {not out}, believed {out}",
-                                       host.number, proxy.number)
+                self.checker.break_rule(
+                    self.ms(), Rule.AGREES, f"{server} shut out: {not out}, believed {out}", host.number, proxy.number
+                )
 
     def on_wrote(self, end: Transport, data: bytes) -> None:
         host = self.by_host.get(end.machine.name)
@@ -294,8 +317,15 @@
 
     def record(self, server: Server) -> Record:
         started = 0.0 if server.started is None else (EPOCH + server.started) * 1000.0
-        return Record(server.name, f"10.9.{server.number // 250}.{server.number % 250 + 1}:80", server.zone,
-                      server.kind, server.state, started, server.warm_at())
+        return Record(
+            server.name,
+            f"10.9.{server.number // 250}.{server.number % 250 + 1}:80",
+            server.zone,
+            server.kind,
+            server.state,
+            started,
+            server.warm_at(),
+        )
 
     @staticmethod
     def listed(record: Record) -> Listed:
@@ -321,8 +351,12 @@
         for record in news.records:
             names.add(record.name)
             known = self.checker.planners[planner].away
-            if record.state is Availability.READY and record.name in known and not news.whole and (
-                    self.told_generation.get(planner, 0) > news.generation):
+            if (
+                record.state is Availability.READY
+                and record.name in known
+                and not news.whole
+                and (self.told_generation.get(planner, 0) > news.generation)
+            ):
                 continue  # an older state does not bring back what drained since
             self.checker.tell(planner, now, record.name, self.listed(record))
         if news.whole:
@@ -344,10 +378,14 @@
     def can_hear(self, planner: int, since: float) -> bool:
         """Whether discovery has been within a planner's reach all the time since."""
         host = self.hosts[planner]
-        return (host.running and not host.machine.still and not self.discovery.trouble
-                and self.reachable_since.get(planner, 0.0) <= since
-                and not self.network.is_cut(host.machine, self.discovery.machine)
-                and not self.network.is_cut(self.discovery.machine, host.machine))
+        return (
+            host.running
+            and not host.machine.still
+            and not self.discovery.trouble
+            and self.reachable_since.get(planner, 0.0) <= since
+            and not self.network.is_cut(host.machine, self.discovery.machine)
+            and not self.network.is_cut(self.discovery.machine, host.machine)
+        )
 
     def watch_for_unasked(self, generation: int) -> None:
         """A planner that neither watches nor asks for as long as allowed counts as told."""
@@ -356,8 +394,10 @@
 
     def unasked(self, generation: int, since: float) -> None:
         for host in self.hosts:
-            if (self.can_hear(host.number, since) and self.told_generation.get(host.number, 0) < generation
-                    <= self.discovery.generation):
+            if (
+                self.can_hear(host.number, since)
+                and self.told_generation.get(host.number, 0) < generation <= self.discovery.generation
+            ):
                 everything = tuple(self.discovery.records.values())
                 self.told(host.number, News(0, everything, True, self.discovery.generation, since))
 
@@ -380,8 +420,7 @@
 
     def send_report(self, machine: Machine, speaker: Lines, lines: list[str]) -> None:
         if self.report_spoilt:
-            lines = [self.spoil(line) if self.chance.random() < self.report_spoilt else line
-                     for line in lines]
+            lines = [self.spoil(line) if self.chance.random() < self.report_spoilt else line for line in lines]
         if lines:
             late = self.report_late + (0.3 if isinstance(speaker, Collector) else 0.0)
             self.loop.at(self.loop.now + late, machine, speaker.say, *lines)
@@ -390,8 +429,8 @@
         words = line.split(" ")
         place = self.chance.randrange(1, len(words))
         name = words[place].partition("=")[0]
-        what = self.chance.choice(("", f"{name}=-1", f"{name}=x", f"{name}=nan", f"{name}={10 ** 30}"))
-        return " ".join(w for w in (*words[:place], what, *words[place + 1:]) if w)
+        what = self.chance.choice(("", f"{name}=-1", f"{name}=x", f"{name}=nan", f"{name}={10**30}"))
+        return " ".join(w for w in (*words[:place], what, *words[place + 1 :]) if w)
 
     def load_of(self, name: str) -> dict[str, float]:
         server = self.servers.get(name)
@@ -565,9 +604,18 @@
     def run(self) -> Result:
         logger.remove()
         sink = logger.add(self.fault, level="ERROR", format="{message}", catch=False)
-        tracing = logger.add(lambda m: self.trace(  # type: ignore[misc]
-            f"{self.loop.now:9.3f} {self.loop.machine}: {m.record['message']}"),
-            level="DEBUG", format="{message}", catch=False) if self.trace is not None else None
+        tracing = (
+            logger.add(
+                lambda m: self.trace(  # type: ignore[misc]
+                    f"{self.loop.now:9.3f} {self.loop.machine}: {m.record['message']}"
+                ),
+                level="DEBUG",
+                format="{message}",
+                catch=False,
+            )
+            if self.trace is not None
+            else None
+        )
         hook, sys.unraisablehook = sys.unraisablehook, lambda _: None  # of coroutines that are thrown away
         try:
             self.begin()
@@ -588,10 +636,17 @@
         for verdict in self.checker.verdicts:
             self.digest.update(str(verdict).encode())
         service = self.answered / self.asked if self.asked else 1.0
-        figures = {**self.counts, "checks": self.checker.checks,
-                   "queue_most": max(c.most for c in self.channels)}
-        return Result(self.script.seed, self.digest.hexdigest(), self.checker.verdicts, self.loop.now,
-                      self.loop.steps, self.requests, service, figures)
+        figures = {**self.counts, "checks": self.checker.checks, "queue_most": max(c.most for c in self.channels)}
+        return Result(
+            self.script.seed,
+            self.digest.hexdigest(),
+            self.checker.verdicts,
+            self.loop.now,
+            self.loop.steps,
+            self.requests,
+            service,
+            figures,
+        )
 
 
 def mark_of(line: bytes) -> int:
@@ -599,6 +654,7 @@
     return int(text) if text.isdigit() else -1
 
 
-def run_script(script: Script, patch: Callable[[World], None] | None = None,
-               trace: Callable[[str], None] | None = None) -> Result:
+def run_script(
+    script: Script, patch: Callable[[World], None] | None = None, trace: Callable[[str], None] | None = None
+) -> Result:
     return World(script, patch, trace).run()
--- a/stackwheel/wire/datagrams.py
+++ b/stackwheel/wire/datagrams.py
@@ -14,8 +14,7 @@
 
 
 class Datagrams(asyncio.DatagramProtocol):
-    def __init__(self, peers: Sequence[str], everyone: str, own: int,
-                 post: Callable[[face.PeerMessage], None]) -> None:
+    def __init__(self, peers: Sequence[str], everyone: str, own: int, post: Callable[[face.PeerMessage], None]) -> None:
         self.own, self.post = own, post
         self.readdress(peers, everyone)
         self.transport: asyncio.DatagramTransport | None = None
--- a/stackwheel/wire/discovery.py
+++ b/stackwheel/wire/discovery.py
@@ -21,8 +21,7 @@
 
 PATH = "/registry/instances"
 UNWRITABLE = re.compile(r"[\s,\x00-\x1f\x7f]")  # in a line of an order it would end the name
-LIFECYCLES = {"in_service": Availability.READY, "terminating": Availability.DRAINING,
-              "terminated": Availability.GONE}
+LIFECYCLES = {"in_service": Availability.READY, "terminating": Availability.DRAINING, "terminated": Availability.GONE}
 
 
 def parse_listing(data: bytes) -> Listing | CallFailed:
@@ -60,9 +59,16 @@
         raise ValueError("no name, address or zone")
     if not name or UNWRITABLE.search(name):
         raise ValueError("a name that no order can carry")
-    return Instance(name, address, zone, str(item.get("machineType", "")), int(figure(item, "cell", 0.0)),
-                    LIFECYCLES[str(item["lifecycle"])], figure(item, "weight", 1.0),
-                    figure(item, "startedAtMs", 0.0))
+    return Instance(
+        name,
+        address,
+        zone,
+        str(item.get("machineType", "")),
+        int(figure(item, "cell", 0.0)),
+        LIFECYCLES[str(item["lifecycle"])],
+        figure(item, "weight", 1.0),
+        figure(item, "startedAtMs", 0.0),
+    )
 
 
 def figure(item: dict[str, object], name: str, default: float) -> float:
@@ -92,9 +98,16 @@
     tells no change for long is renewed in the same way, as its updates may have stopped while it beats.
     """
 
-    def __init__(self, address: str, generation: int, follow_always: bool,
-                 post: Callable[[Listing | ListFailed], None], random: Random | None = None,
-                 ask_within: float = math.inf, renewal: float = math.inf) -> None:
+    def __init__(
+        self,
+        address: str,
+        generation: int,
+        follow_always: bool,
+        post: Callable[[Listing | ListFailed], None],
+        random: Random | None = None,
+        ask_within: float = math.inf,
+        renewal: float = math.inf,
+    ) -> None:
         self.address, self.generation, self.post = address, generation, post
         self.follow_always = follow_always  # where changes come unasked, so does the watch
         self.random = random or Random(0)
@@ -207,8 +220,7 @@
         if self.watching is None and self.successor is None:
             self.failed(failed, address)
             return
-        logger.info("discovery {} ended at {}: {}; another watch goes on", address, failed.stage.name,
-                    failed.reason)
+        logger.info("discovery {} ended at {}: {}; another watch goes on", address, failed.stage.name, failed.reason)
         if self.successor is None and self.source != self.address:
             asyncio.get_running_loop().call_later(self.backoff.next() / 1000.0, self.mailbox.put_nowait, "again")
 
@@ -248,7 +260,7 @@
             limit = timing.SILENCE
             while (end := held.find(b"\n", searched)) >= 0:
                 line = bytes(held[:end]).strip()
-                del held[:end + 1]
+                del held[: end + 1]
                 searched, line_due = 0, loop.time() * 1000.0 + timing.LINE
                 found = parse_listing(line) if line else None
                 yield found
@@ -271,8 +283,9 @@
                 self.watching.cancel()
             self.watching, self.successor = self.successor, None
         self.generation = found.generation if found.whole else max(self.generation, found.generation)
-        logger.info("list {}: {} {} instances", found.generation, "all" if found.whole else "changed",
-                    len(found.instances))
+        logger.info(
+            "list {}: {} {} instances", found.generation, "all" if found.whole else "changed", len(found.instances)
+        )
         self.post(found)
 
     def failed(self, failed: CallFailed, address: str) -> None:
--- a/stackwheel/wire/http.py
+++ b/stackwheel/wire/http.py
@@ -72,8 +72,9 @@
         except (OSError, ValueError, OverflowError) as error:  # the last: a port that is none
             return CallFailed(Stage.DIAL, str(error))
         try:
-            head = h11.Request(method="GET", target=self.target,
-                               headers=[("Host", self.address), ("Accept", "application/json")])
+            head = h11.Request(
+                method="GET", target=self.target, headers=[("Host", self.address), ("Accept", "application/json")]
+            )
             self.writer.write(self.http.send(head) + self.http.send(h11.EndOfMessage()))
             event = await within(answer, self.event())
         except (OSError, h11.ProtocolError) as error:
@@ -121,14 +122,19 @@
 
     def close(self) -> None:
         """Also of a call that was given up in the turn in which its connection came: nobody else would."""
-        if self.dialling is not None and self.dialling.done() and not self.dialling.cancelled() \
-                and self.dialling.exception() is None:
+        if (
+            self.dialling is not None
+            and self.dialling.done()
+            and not self.dialling.cancelled()
+            and self.dialling.exception() is None
+        ):
             _, writer = self.dialling.result()
             writer.transport.abort()
 
 
-async def get(address: str, target: str, dial: float, answer: float,
-              most: int = timing.BODY_MOST) -> bytes | CallFailed:
+async def get(
+    address: str, target: str, dial: float, answer: float, most: int = timing.BODY_MOST
+) -> bytes | CallFailed:
     call = Call(address, target)
     try:
         failed = await call.open(dial, answer)
--- a/stackwheel/wire/lines.py
+++ b/stackwheel/wire/lines.py
@@ -48,7 +48,7 @@
             if end > self.limit:
                 break
             line = bytes(self.held[:end])
-            del self.held[:end + len(END)]
+            del self.held[: end + len(END)]
             searched = 0
             self.taken += len(line) + len(END)
             yield line
@@ -118,16 +118,24 @@
 
 def read_report(f: Fields) -> Load:
     tries = f.whole("count")
-    return Load(f.zone(), f.text("target"), tries, f.whole("fail", tries), f.time("mean"), f.span("over"),
-                read_load(f.values.get("util", ""), ":"))
+    return Load(
+        f.zone(),
+        f.text("target"),
+        tries,
+        f.whole("fail", tries),
+        f.time("mean"),
+        f.span("over"),
+        read_load(f.values.get("util", ""), ":"),
+    )
 
 
 READERS: dict[str, Callable[[Fields], Message]] = {
     "PING": lambda f: Ping(),
     "SOURCE": lambda f: Source(f.zone()),
     "LOAD": read_report,
-    "RATE": lambda f: Rate(f.whole("id"), f.place("lane", f.names.classes), f.whole("count"),
-                           f.whole("fail"), f.span("over")),
+    "RATE": lambda f: Rate(
+        f.whole("id"), f.place("lane", f.names.classes), f.whole("count"), f.whole("fail"), f.span("over")
+    ),
     "SUBSCRIBE": lambda f: Join(f.whole("id"), f.zone(), read_figure("rps", f.text("rps")), f.flag("new")),
     "ACK": lambda f: Ack(f.whole("id"), f.whole("seq"), f.time("ms")),
 }
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -49,16 +49,29 @@
 class Links:
     """The module's outside, on this protocol."""
 
-    def __init__(self, addresses: Addresses, settings: Settings, names: Names, roster: Roster,
-                 clock: Clock, listen_at: Callable[[str], socket.socket] = stand_open, seed: int = 0) -> None:
+    def __init__(
+        self,
+        addresses: Addresses,
+        settings: Settings,
+        names: Names,
+        roster: Roster,
+        clock: Clock,
+        listen_at: Callable[[str], socket.socket] = stand_open,
+        seed: int = 0,
+    ) -> None:
         self.addresses, self.settings, self.names = addresses, settings, names
         self.roster, self.clock, self.listen_at = roster, clock, listen_at
         self.encoder = Encoder(names, roster.ids)
-        self.discovery = Discovery(addresses.discovery, roster.generation, not settings.list_on_request,
-                                   lambda item: self.post(item), Random(seed), settings.ask_within,
-                                   timing.renewal(settings.planners))
-        self.datagrams = Datagrams(addresses.peers, addresses.peers_all, settings.planner,
-                                   lambda item: self.post(item))
+        self.discovery = Discovery(
+            addresses.discovery,
+            roster.generation,
+            not settings.list_on_request,
+            lambda item: self.post(item),
+            Random(seed),
+            settings.ask_within,
+            timing.renewal(settings.planners),
+        )
+        self.datagrams = Datagrams(addresses.peers, addresses.peers_all, settings.planner, lambda item: self.post(item))
         self.unidentified: dict[Peer, None] = {}  # the first to come first
         self.arriving = 0  # connections taken, but not attended yet
         self.probing = 0  # probes under way
@@ -74,8 +87,9 @@
         self.post = post
         loop = asyncio.get_running_loop()
         if self.settings.peers_allowed and self.addresses.peer_listen:
-            await loop.create_datagram_endpoint(lambda: self.datagrams,
-                                                local_addr=split_address(self.addresses.peer_listen))
+            await loop.create_datagram_endpoint(
+                lambda: self.datagrams, local_addr=split_address(self.addresses.peer_listen)
+            )
         listener = self.listen_at(self.addresses.listen)
         self.keep_up("list", self.discovery.run)
         self.keep_up("listener", lambda: self.listen(listener))
@@ -95,6 +109,7 @@
 
     def keep_up(self, name: str, work: Callable[[], Coroutine[object, object, None]]) -> None:
         """What the process is nothing without: a fault is logged, and it begins again."""
+
         async def again() -> None:
             while True:
                 try:
@@ -157,8 +172,17 @@
             return
         finally:
             self.arriving -= 1
-        peer = Peer(reader, writer, self.names, self.settings.proxies, self.post, self.known,
-                    self.limiter, self.waiting, lambda server: self.roster.ids.name(server) is not None)
+        peer = Peer(
+            reader,
+            writer,
+            self.names,
+            self.settings.proxies,
+            self.post,
+            self.known,
+            self.limiter,
+            self.waiting,
+            lambda server: self.roster.ids.name(server) is not None,
+        )
         self.peers[peer] = None
         self.known(peer, False)
         try:
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -67,10 +67,18 @@
 class Peer:
     """A proxy's stream, a collector, or somebody who has not said yet."""
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, names: Names, proxies: int,
-                 post: Callable[[Item], None], known: Callable[[Peer, bool], None],
-                 limiter: Callable[[int], RateLimiter], waiting: Waiting,
-                 listed: Callable[[face.Server], bool]) -> None:
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        names: Names,
+        proxies: int,
+        post: Callable[[Item], None],
+        known: Callable[[Peer, bool], None],
+        limiter: Callable[[int], RateLimiter],
+        waiting: Waiting,
+        listed: Callable[[face.Server], bool],
+    ) -> None:
         self.reader, self.writer, self.names, self.proxies = reader, writer, names, proxies
         self.post, self.limiter, self.waiting = post, limiter, waiting
         self.listed = listed  # whether a server is known
@@ -137,8 +145,7 @@
             return None if said is None else Unreadable(said.reason)
         if said is not None:
             self.left_out += 1
-            logger.warning("{}: message {} left out, its {}. so far: {}", self, self.heard, self.left_out,
-                           said.reason)
+            logger.warning("{}: message {} left out, its {}. so far: {}", self, self.heard, self.left_out, said.reason)
             if self.proxy is not None:
                 self.post(Said(self.proxy, None, self))
         return None
--- a/tests/cli/test_command_line.py
+++ b/tests/cli/test_command_line.py
@@ -20,8 +20,15 @@
 
 
 def call(*words: str, **more: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "stackwheel", *words], cwd=ROOT, capture_output=True, text=True,
-                          env={**os.environ, **more}, timeout=120, check=False)
+    return subprocess.run(
+        [sys.executable, "-m", "stackwheel", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        env={**os.environ, **more},
+        timeout=120,
+        check=False,
+    )
 
 
 def test_run_ends_with_one_object_and_zero() -> None:
@@ -57,16 +64,19 @@
     assert s.decode(call("trial", "show", drain, "--json").stdout.encode()) == s.load(Path(drain))
 
 
-@pytest.mark.parametrize(("words", "told"), [
-    (("trial", "run", "--seeds", "x:y"), "'x:y' is no range of seeds"),
-    (("trial", "run", "--seeds", "5:5"), "holds 0 seeds"),
-    (("trial", "run"), "Missing option '--seeds'"),
-    (("trial", "run", "--seeds", "0:2", "--jobs", "0"), "--jobs"),
-    (("trial", "replay", "nowhere.json"), "nowhere.json: No such file"),
-    (("trial", "replay", "0", "--defect", "none"), "'none' is not one of"),
-    (("trial", "melt"), "No such command 'melt'"),
-    (("melt",), "No such command 'melt'"),
-])
+@pytest.mark.parametrize(
+    ("words", "told"),
+    [
+        (("trial", "run", "--seeds", "x:y"), "'x:y' is no range of seeds"),
+        (("trial", "run", "--seeds", "5:5"), "holds 0 seeds"),
+        (("trial", "run"), "Missing option '--seeds'"),
+        (("trial", "run", "--seeds", "0:2", "--jobs", "0"), "--jobs"),
+        (("trial", "replay", "nowhere.json"), "nowhere.json: No such file"),
+        (("trial", "replay", "0", "--defect", "none"), "'none' is not one of"),
+        (("trial", "melt"), "No such command 'melt'"),
+        (("melt",), "No such command 'melt'"),
+    ],
+)
 def test_bad_usage_is_one_line_and_two(words: tuple[str, ...], told: str) -> None:
     done = call(*words)
     assert done.returncode == 2 and told in done.stderr
@@ -82,8 +92,12 @@
 
 
 def test_interrupted_it_reports_what_was_done() -> None:
-    process = subprocess.Popen([sys.executable, "-m", "stackwheel", "trial", "run", "--seeds", "0:100000", "--jobs", "1",
-                                "--json"], cwd=ROOT, stdout=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "stackwheel", "trial", "run", "--seeds", "0:100000", "--jobs", "1", "--json"],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     time.sleep(4.0)
     process.send_signal(signal.SIGINT)
     out, _ = process.communicate(timeout=60)
@@ -91,8 +105,9 @@
     assert found["stopped"] is True and 0 < found["seeds"] < 100000 and process.returncode == 130
 
 
-def test_without_its_libraries_it_says_what_to_install(monkeypatch: pytest.MonkeyPatch,
-                                                       capsys: pytest.CaptureFixture[str]) -> None:
+def test_without_its_libraries_it_says_what_to_install(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
     monkeypatch.setitem(sys.modules, "click", None)
     assert entry.main(["trial"]) == 2
     assert capsys.readouterr().err == "stackwheel: the command line needs click: pip install 'stackwheel[cli]'\n"
@@ -100,13 +115,20 @@
 
 def test_the_plain_planner_loads_nothing_of_it(tmp_path: Path) -> None:
     """As light as before: no library but h11 and loguru, and no package of the trials or the command line."""
-    code = "import sys, runpy\nsys.argv = ['stackwheel']\nfrom stackwheel import __main__\n" \
-           "import stackwheel.service.app, stackwheel.service.logs\nprint(*sorted(sys.modules))"
-    loaded = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
+    code = (
+        "import sys, runpy\nsys.argv = ['stackwheel']\nfrom stackwheel import __main__\n"
+        "import stackwheel.service.app, stackwheel.service.logs\nprint(*sorted(sys.modules))"
+    )
+    loaded = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+    ).stdout.split()
     heads = {name.partition(".")[0] for name in loaded}
     assert not heads & {"click", "rich", "msgspec", "numpy", "pydantic", "lark", "hypothesis"}
-    assert not [name for name in loaded if name.startswith(("stackwheel.trials", "stackwheel.cli", "stackwheel.rules",
-                                                            "stackwheel.forwarder"))]
+    assert not [
+        name
+        for name in loaded
+        if name.startswith(("stackwheel.trials", "stackwheel.cli", "stackwheel.rules", "stackwheel.forwarder"))
+    ]
 
 
 def test_serve_is_the_plain_planner() -> None:
--- a/tests/cli/test_files_command.py
+++ b/tests/cli/test_files_command.py
@@ -14,8 +14,17 @@
 ROOT = Path(__file__).parents[2]
 EXAMPLES = sorted((ROOT / "examples" / "files").glob("*.table"))
 KEYS = 'signing = "k1"\n[keys]\nk1 = "' + "61" * 32 + '"\n'
-ORDERS = Orders("n0", Incarnation(0, 1, 1), 2, 1000.0, 2000.0, "east", tables=(
-    Table("read", {"s-1": 0.5}, Level(0.9, 1)),), withdrawn=("s-2",), bookings=(Booking("b1", "read", 3, 1500.0),))
+ORDERS = Orders(
+    "n0",
+    Incarnation(0, 1, 1),
+    2,
+    1000.0,
+    2000.0,
+    "east",
+    tables=(Table("read", {"s-1": 0.5}, Level(0.9, 1)),),
+    withdrawn=("s-2",),
+    bookings=(Booking("b1", "read", 3, 1500.0),),
+)
 
 
 def call(capsys: pytest.CaptureFixture[str], *words: str | Path) -> tuple[int, str, str]:
@@ -34,30 +43,48 @@
 
 
 def test_check_accepts_what_is_whole_and_genuine(folder: Path, capsys: pytest.CaptureFixture[str]) -> None:
-    assert call(capsys, "check", folder / "plain.table")[:2] == (0, f"{folder}/plain.table: sound, but its time is over\n")
+    assert call(capsys, "check", folder / "plain.table")[:2] == (
+        0,
+        f"{folder}/plain.table: sound, but its time is over\n",
+    )
     assert call(capsys, "check", folder / "signed.table", "--key-file", folder / "keys.toml")[0] == 0
     code, out, _ = call(capsys, "check", folder / "plain.table", "--json")
     assert code == 0 and json.loads(out) == {"ok": True, "kind": "orders", "over": True}
 
 
-@pytest.mark.parametrize(("name", "told"), [
-    ("torn.table", "trailer: no trailer: half written, or no table file"),
-    ("none.table", "open: No such file or directory"), ("keys.toml", "open: name 'keys.toml' is not taken")])
+@pytest.mark.parametrize(
+    ("name", "told"),
+    [
+        ("torn.table", "trailer: no trailer: half written, or no table file"),
+        ("none.table", "open: No such file or directory"),
+        ("keys.toml", "open: name 'keys.toml' is not taken"),
+    ],
+)
 def test_check_says_why_not(folder: Path, capsys: pytest.CaptureFixture[str], name: str, told: str) -> None:
     code, out, _ = call(capsys, "check", folder / name)
     assert code == 1 and out == f"{folder}/{name}: {told}\n"
 
 
-def test_a_file_that_is_not_signed_is_refused_where_a_key_is_set(folder: Path, capsys: pytest.CaptureFixture[str]) -> None:
+def test_a_file_that_is_not_signed_is_refused_where_a_key_is_set(
+    folder: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     code, out, _ = call(capsys, "check", folder / "plain.table", "--key-file", folder / "keys.toml", "--json")
     assert code == 1 and json.loads(out)["stage"] == "key"
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    ("x", "keys.toml: "), ("", "no [keys]"), ('[keys]\nk1 = "zz"', "keys.k1: a key in hexadecimal was expected"),
-    ('[keys]\nk1 = "00"', "key k1 has 1 bytes"), ('signing = 3\n[keys]\nk1 = "' + "00" * 16 + '"', "signing: the id")])
-def test_a_key_file_that_cannot_be_used_is_one_line(folder: Path, capsys: pytest.CaptureFixture[str], text: str,
-                                                    told: str) -> None:
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("x", "keys.toml: "),
+        ("", "no [keys]"),
+        ('[keys]\nk1 = "zz"', "keys.k1: a key in hexadecimal was expected"),
+        ('[keys]\nk1 = "00"', "key k1 has 1 bytes"),
+        ('signing = 3\n[keys]\nk1 = "' + "00" * 16 + '"', "signing: the id"),
+    ],
+)
+def test_a_key_file_that_cannot_be_used_is_one_line(
+    folder: Path, capsys: pytest.CaptureFixture[str], text: str, told: str
+) -> None:
     (folder / "keys.toml").write_text(text)
     code, _, err = call(capsys, "check", folder / "plain.table", "--key-file", folder / "keys.toml")
     assert code == 2 and told in err and len(err.strip().splitlines()) == 1
@@ -75,10 +102,23 @@
 
 
 def test_diff_names_what_moved(folder: Path, capsys: pytest.CaptureFixture[str]) -> None:
-    (folder / "other.table").write_bytes(encode(Orders(
-        "n0", Incarnation(0, 1, 1), 3, 1000.0, 2000.0, "east", tables=(Table("read", {"s-1": 0.7}, Level(0.9, 1)),))))
+    (folder / "other.table").write_bytes(
+        encode(
+            Orders(
+                "n0",
+                Incarnation(0, 1, 1),
+                3,
+                1000.0,
+                2000.0,
+                "east",
+                tables=(Table("read", {"s-1": 0.7}, Level(0.9, 1)),),
+            )
+        )
+    )
     code, out, _ = call(capsys, "diff", folder / "plain.table", folder / "other.table")
-    assert code == 1 and "read s-1: 0.5 -> 0.7" in out and "withdrawn: ['s-2'] -> []" in out and "sequence: 2 -> 3" in out
+    assert (
+        code == 1 and "read s-1: 0.5 -> 0.7" in out and "withdrawn: ['s-2'] -> []" in out and "sequence: 2 -> 3" in out
+    )
     assert call(capsys, "diff", folder / "plain.table", folder / "signed.table")[:2] == (0, "no difference\n")
     assert call(capsys, "diff", folder / "plain.table", folder / "torn.table")[0] == 2
 
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -11,9 +11,20 @@
 READ = face.RequestClass("read", 500.0, 1200.0, 1.0, "repeatable")
 WRITE = face.RequestClass("write", 1000.0, 3000.0, 5.0, "once")
 SETTINGS = face.Settings(
-    zones=2, classes=(READ, WRITE), load_columns=("utilization",), cross_zone_price=0.1, proxies=4, overhead=4.0,
-    channel_rate=3000.0, backlog=6000.0, message_cap=0, cold_share=0.2, cold_time=10000.0, fall_multiple=3.0,
-    drain_grace=3000.0, admission="share",
+    zones=2,
+    classes=(READ, WRITE),
+    load_columns=("utilization",),
+    cross_zone_price=0.1,
+    proxies=4,
+    overhead=4.0,
+    channel_rate=3000.0,
+    backlog=6000.0,
+    message_cap=0,
+    cold_share=0.2,
+    cold_time=10000.0,
+    fall_multiple=3.0,
+    drain_grace=3000.0,
+    admission="share",
 )
 
 
@@ -21,14 +32,26 @@
     return face.Server(bytes([10, 0, 0, number, 1, 1]))
 
 
-def entry(number: int, zone: int = 0, state: face.Availability = face.Availability.READY, started: float = 0.0,
-          size: float = 1.0, kind: int = 0) -> face.ServerEntry:
+def entry(
+    number: int,
+    zone: int = 0,
+    state: face.Availability = face.Availability.READY,
+    started: float = 0.0,
+    size: float = 1.0,
+    kind: int = 0,
+) -> face.ServerEntry:
     return face.ServerEntry(name(number), zone, kind, 0, state, size, started)
 
 
 class Desk:
-    def __init__(self, settings: face.Settings = SETTINGS, servers: Iterable[face.ServerEntry] = (),
-                 proxies: Iterable[tuple[int, int]] = ((0, 0), (1, 1)), now: float = 100000.0, **changed: object) -> None:
+    def __init__(
+        self,
+        settings: face.Settings = SETTINGS,
+        servers: Iterable[face.ServerEntry] = (),
+        proxies: Iterable[tuple[int, int]] = ((0, 0), (1, 1)),
+        now: float = 100000.0,
+        **changed: object,
+    ) -> None:
         self.settings = replace(settings, **changed)  # type: ignore[arg-type]
         self.planner = Planner(self.settings, 7)
         self.now = now
@@ -51,8 +74,12 @@
         for action in actions:
             self.apply(action)
         self.actions += actions
-        self.owed += [face.Acknowledged(proxy, action.mark, 100.0) for action in actions
-                      if isinstance(action, face.Mark) for proxy in self.planner.lines]
+        self.owed += [
+            face.Acknowledged(proxy, action.mark, 100.0)
+            for action in actions
+            if isinstance(action, face.Mark)
+            for proxy in self.planner.lines
+        ]
         return actions
 
     def arrived(self) -> list[face.Event]:
@@ -87,19 +114,36 @@
         self.entries.update({e.server: e for e in entries})
         return self.send(face.ServerList(face.ListScope.CHANGES, 2, entries), wait=10.0)
 
-    def slot(self, tries: int = 20, demand: int = 40, bad: dict[int, int] | None = None, slow: dict[int, float] | None = None,
-             use: dict[int, float] | None = None, mean: float = 100.0, zones: Iterable[int] = (0, 1)) -> list[face.Action]:
+    def slot(
+        self,
+        tries: int = 20,
+        demand: int = 40,
+        bad: dict[int, int] | None = None,
+        slow: dict[int, float] | None = None,
+        use: dict[int, float] | None = None,
+        mean: float = 100.0,
+        zones: Iterable[int] = (0, 1),
+    ) -> list[face.Action]:
         """A second passes; what was sent has arrived, and the reports of every ready server come in."""
         ready = [e for e in self.entries.values() if e.availability is face.Availability.READY]
         reports: list[face.Event] = []
         for e in ready:
             number = e.server[3]
             for zone in zones:
-                reports.append(face.ServerReport(
-                    zone, e.server, tries, (bad or {}).get(number, 0), (slow or {}).get(number, mean), 1000.0,
-                    ((use or {}).get(number, 0.5),)))
-        usage = [face.DemandReport(p, c, demand, 0, 1000.0)
-                 for p in self.bound for c in range(len(self.settings.classes))]
+                reports.append(
+                    face.ServerReport(
+                        zone,
+                        e.server,
+                        tries,
+                        (bad or {}).get(number, 0),
+                        (slow or {}).get(number, mean),
+                        1000.0,
+                        ((use or {}).get(number, 0.5),),
+                    )
+                )
+        usage = [
+            face.DemandReport(p, c, demand, 0, 1000.0) for p in self.bound for c in range(len(self.settings.classes))
+        ]
         return self.send(*self.arrived(), *reports, *usage, wait=1000.0)
 
     def slots(self, count: int, **how: object) -> None:
--- a/tests/files/modeldisk.py
+++ b/tests/files/modeldisk.py
@@ -46,7 +46,7 @@
 
     def write(self, handle: int, data: bytes) -> int:
         self.step("write")
-        taken = data[:self.chunk]
+        taken = data[: self.chunk]
         self.handles[handle].data += taken
         return len(taken)
 
@@ -77,7 +77,7 @@
     def read(self, path: str, most: int) -> bytes:
         if path not in self.names_now:
             raise OSError(errno.ENOENT, "No such file or directory")
-        return bytes(self.names_now[path].data[:most + 1])
+        return bytes(self.names_now[path].data[: most + 1])
 
     def outcomes(self, path: str) -> Iterator[bytes | None]:
         """All that the file may hold after a loss of power: either name, and of what was not synced any start."""
--- a/tests/files/test_accept.py
+++ b/tests/files/test_accept.py
@@ -28,8 +28,11 @@
 
 
 def whole(sequence: int, life: Incarnation = LIFE, **more: object) -> Orders:
-    fields: dict[str, object] = {"until": NOW + 20_000.0, "zone": "east",
-                                 "tables": (Table("read", {"a": float(sequence), "b": 1.0}),)}
+    fields: dict[str, object] = {
+        "until": NOW + 20_000.0,
+        "zone": "east",
+        "tables": (Table("read", {"a": float(sequence), "b": 1.0}),),
+    }
     return Orders("n0", life, sequence, NOW, **{**fields, **more})  # type: ignore[arg-type]
 
 
@@ -70,15 +73,21 @@
 def test_a_change_waits_for_its_whole_file_and_needs_none_between() -> None:
     acceptor = Acceptor("east", 3)
     assert take(acceptor, change(3, 1), whole(1), change(4, 1), change(3, 1), change(6, 5)) == [
-        "BASE", "taken", "taken", "ORDER", "BASE"]
+        "BASE",
+        "taken",
+        "taken",
+        "ORDER",
+        "BASE",
+    ]
     assert acceptor.held["n0|east|all"].content.tables == {"read": {"a": 4.0, "b": 1.0}}
 
 
 def test_an_order_for_bookings_takes_effect_once_however_it_comes() -> None:
     order = Booking("n0.1", "book", 3, NOW + 5000.0)
     acceptor = Acceptor("east", 3)
-    assert take(acceptor, whole(1, bookings=(order,)), whole(2, bookings=(order,)), change(3, 2, bookings=(order,))) == [
-        "taken n0.1", "taken", "taken"]
+    assert take(
+        acceptor, whole(1, bookings=(order,)), whole(2, bookings=(order,)), change(3, 2, bookings=(order,))
+    ) == ["taken n0.1", "taken", "taken"]
     again = Acceptor("east", 3, acceptor.memory)
     assert take(again, whole(4, bookings=(order,)), whole(1, NEXT, bookings=(order,))) == ["taken", "taken"]
 
@@ -98,8 +107,10 @@
     assert acceptor.memory.bookings == {}
 
 
-@pytest.mark.parametrize(("orders", "stage"), [
-    (whole(1, until=NOW), Stage.AGE), (whole(1, zone="west"), Stage.TARGET), (whole(1, proxy=4), Stage.TARGET)])
+@pytest.mark.parametrize(
+    ("orders", "stage"),
+    [(whole(1, until=NOW), Stage.AGE), (whole(1, zone="west"), Stage.TARGET), (whole(1, proxy=4), Stage.TARGET)],
+)
 def test_what_is_over_or_for_others_is_refused(orders: Orders, stage: Stage) -> None:
     found = Acceptor("east", 3).offer(orders, NOW)
     assert isinstance(found, Refusal) and found.stage is stage
@@ -120,7 +131,9 @@
     acceptor, marks = Acceptor("east", 3), []
     for one in pushed:
         take(acceptor, one)
-        marks.append(max((m.incarnation, m.sequence) for m in acceptor.memory.marks.values()) if acceptor.memory.marks else None)
+        marks.append(
+            max((m.incarnation, m.sequence) for m in acceptor.memory.marks.values()) if acceptor.memory.marks else None
+        )
         if chance.random() < 0.2:
             acceptor = Acceptor("east", 3, acceptor.memory)
     told = [mark for mark in marks if mark is not None]
@@ -128,8 +141,14 @@
 
 
 LINES = st.dictionaries(st.sampled_from("abcd"), st.sampled_from([0.5, 1.0, 2.0]), max_size=4)
-CONTENT = st.builds(Content, st.fixed_dictionaries({"read": LINES, "book": LINES}), st.fixed_dictionaries(
-    {"read": st.sampled_from([None, Level(0.5, 1)]), "book": st.sampled_from([None, Level(0.9, 1)])}), st.just(()))
+CONTENT = st.builds(
+    Content,
+    st.fixed_dictionaries({"read": LINES, "book": LINES}),
+    st.fixed_dictionaries(
+        {"read": st.sampled_from([None, Level(0.5, 1)]), "book": st.sampled_from([None, Level(0.9, 1)])}
+    ),
+    st.just(()),
+)
 
 
 @settings(max_examples=200, deadline=None)
@@ -157,5 +176,8 @@
     assert len(acceptor.memory.marks) == 64 and len(acceptor.held) == 64
     ids = itertools.count()
     for sequence in range(1, 13):
-        take(acceptor, whole(sequence, bookings=tuple(Booking(f"x{next(ids)}", "book", 1, NOW + 1e6) for _ in range(1000))))
+        take(
+            acceptor,
+            whole(sequence, bookings=tuple(Booking(f"x{next(ids)}", "book", 1, NOW + 1e6) for _ in range(1000))),
+        )
     assert len(acceptor.memory.bookings) == 10_000
--- a/tests/files/test_codec.py
+++ b/tests/files/test_codec.py
@@ -13,11 +13,33 @@
 from stackwheel.files.records import Answer, Booking, Came, Incarnation, Level, Met, Orders, Table
 
 LIFE = Incarnation(0, 1000, 7)
-ORDERS = Orders("n0", LIFE, 3, 5000.0, 9000.0, "east", tables=(
-    Table("read", {"s-1": 0.5, "s-2": 1.5}, Level(0.9, 1)), Table("book", {"s-1": 1.0})), withdrawn=("s-3",),
-    bookings=(Booking("n0.3.1", "book", 5, 8000.0),))
-ANSWER = Answer(4, "east", LIFE, 9, 6000.0, "n0", LIFE, 3, 120.0, False, 20.5, 1000.0,
-                (Came("read", 12, 1),), (Met("s-1", 20, 1, 80.5, {"outstanding": 3.0}),))
+ORDERS = Orders(
+    "n0",
+    LIFE,
+    3,
+    5000.0,
+    9000.0,
+    "east",
+    tables=(Table("read", {"s-1": 0.5, "s-2": 1.5}, Level(0.9, 1)), Table("book", {"s-1": 1.0})),
+    withdrawn=("s-3",),
+    bookings=(Booking("n0.3.1", "book", 5, 8000.0),),
+)
+ANSWER = Answer(
+    4,
+    "east",
+    LIFE,
+    9,
+    6000.0,
+    "n0",
+    LIFE,
+    3,
+    120.0,
+    False,
+    20.5,
+    1000.0,
+    (Came("read", 12, 1),),
+    (Met("s-1", 20, 1, 80.5, {"outstanding": 3.0}),),
+)
 OLD, NEW = KeyRing({"k1": b"a" * 32}, "k1"), KeyRing({"k2": b"b" * 32}, "k2")
 BOTH = KeyRing({"k1": b"a" * 32, "k2": b"b" * 32}, "k2")
 
@@ -29,8 +51,9 @@
 
 
 def test_the_same_document_has_the_same_bytes() -> None:
-    again = msgspec.structs.replace(ORDERS, tables=(
-        Table("read", {"s-2": 1.5, "s-1": 0.5}, Level(0.9, 1)), Table("book", {"s-1": 1.0})))
+    again = msgspec.structs.replace(
+        ORDERS, tables=(Table("read", {"s-2": 1.5, "s-1": 0.5}, Level(0.9, 1)), Table("book", {"s-1": 1.0}))
+    )
     assert encode(again, OLD) == encode(ORDERS, OLD)
 
 
@@ -70,21 +93,34 @@
 
 def resigned(head: bytes) -> bytes:
     return head + b"\nend length=%d blake2b=%b\n" % (
-        len(head), hashlib.blake2b(head, digest_size=32).hexdigest().encode())
-
-
-@pytest.mark.parametrize(("data", "stage", "told"), [
-    (b"", Stage.TRAILER, "empty"),
-    (b"hello\n", Stage.TRAILER, "half written, or no table file"),
-    (resigned(b"other 1\n{}"), Stage.VERSION, "begins with"),
-    (resigned(MAGIC + b" 2\n{}"), Stage.VERSION, "not stackwheel-table 1"),
-    (resigned(MAGIC + b" 1\n{"), Stage.CONTENT, "truncated"),
-    (resigned(MAGIC + b' 1\n{"kind":"orders"}'), Stage.CONTENT, "missing required field `planner`"),
-    (resigned(MAGIC + b" 1\n" + msgspec.json.encode(ORDERS).replace(b'"s-1":0.5', b'"s-1":-0.5')), Stage.CONTENT, "$.tables[0]"),
-    (resigned(MAGIC + b" 1\n" + msgspec.json.encode(ORDERS).replace(b'"n0"', b'"../n0"')), Stage.CONTENT, "$.planner"),
-    (resigned(MAGIC + b" 1\n" + b"[" * 100_000), Stage.CONTENT, ""),
-    (b"x" * ((16 << 20) + 1), Stage.SIZE, "at most"),
-])
+        len(head),
+        hashlib.blake2b(head, digest_size=32).hexdigest().encode(),
+    )
+
+
+@pytest.mark.parametrize(
+    ("data", "stage", "told"),
+    [
+        (b"", Stage.TRAILER, "empty"),
+        (b"hello\n", Stage.TRAILER, "half written, or no table file"),
+        (resigned(b"other 1\n{}"), Stage.VERSION, "begins with"),
+        (resigned(MAGIC + b" 2\n{}"), Stage.VERSION, "not stackwheel-table 1"),
+        (resigned(MAGIC + b" 1\n{"), Stage.CONTENT, "truncated"),
+        (resigned(MAGIC + b' 1\n{"kind":"orders"}'), Stage.CONTENT, "missing required field `planner`"),
+        (
+            resigned(MAGIC + b" 1\n" + msgspec.json.encode(ORDERS).replace(b'"s-1":0.5', b'"s-1":-0.5')),
+            Stage.CONTENT,
+            "$.tables[0]",
+        ),
+        (
+            resigned(MAGIC + b" 1\n" + msgspec.json.encode(ORDERS).replace(b'"n0"', b'"../n0"')),
+            Stage.CONTENT,
+            "$.planner",
+        ),
+        (resigned(MAGIC + b" 1\n" + b"[" * 100_000), Stage.CONTENT, ""),
+        (b"x" * ((16 << 20) + 1), Stage.SIZE, "at most"),
+    ],
+)
 def test_a_refusal_says_how_far_the_reading_had_come(data: bytes, stage: Stage, told: str) -> None:
     found = decode(data)
     assert isinstance(found, Refusal) and found.stage is stage and told in found.reason
@@ -95,8 +131,11 @@
     signed = encode(ORDERS, OLD)
     assert decode(signed, BOTH) == ORDERS  # while both are valid
     assert decode(signed) == ORDERS  # who has no key asks for none
-    for data, keys, stage in ((signed, NEW, Stage.KEY), (encode(ORDERS), OLD, Stage.KEY),
-                              (signed, KeyRing({"k1": b"c" * 32}), Stage.SIGNATURE)):
+    for data, keys, stage in (
+        (signed, NEW, Stage.KEY),
+        (encode(ORDERS), OLD, Stage.KEY),
+        (signed, KeyRing({"k1": b"c" * 32}), Stage.SIGNATURE),
+    ):
         found = decode(data, keys)
         assert isinstance(found, Refusal) and found.stage is stage
 
@@ -108,9 +147,15 @@
     assert isinstance(found, Refusal) and found.stage is Stage.SIGNATURE
 
 
-@pytest.mark.parametrize(("keys", "signing"), [
-    ({"a": b"x" * 16, "b": b"x" * 16, "c": b"x" * 16}, None), ({"a": b"short"}, None), ({"a b": b"x" * 16}, None),
-    ({"a": b"x" * 16}, "b")])
+@pytest.mark.parametrize(
+    ("keys", "signing"),
+    [
+        ({"a": b"x" * 16, "b": b"x" * 16, "c": b"x" * 16}, None),
+        ({"a": b"short"}, None),
+        ({"a b": b"x" * 16}, None),
+        ({"a": b"x" * 16}, "b"),
+    ],
+)
 def test_a_key_ring_that_cannot_be(keys: dict[str, bytes], signing: str | None) -> None:
     with pytest.raises(ValueError):
         KeyRing(keys, signing)
--- a/tests/files/test_ledger.py
+++ b/tests/files/test_ledger.py
@@ -39,13 +39,21 @@
         self.sequence += 1
         reader = self.readers[proxy]
         newest = max((h.orders for h in reader.held.values()), key=lambda o: o.made, default=None)
-        fields: dict[str, object] = {"planner": newest.planner, "incarnation": newest.incarnation,
-                                     "applied": newest.sequence, "fresh": False} if newest is not None else {}
-        return list(self.ledger.answer(Answer(proxy, reader.zone, LIFE, self.sequence, self.now, **{**fields, **more}),  # type: ignore[arg-type]
-                                       self.now))
-
-    def order(self, proxy: int, *parts: Part, mark: int | None = None, shut: tuple[str, ...] = (),
-              back: tuple[str, ...] = ()) -> None:
+        fields: dict[str, object] = (
+            {"planner": newest.planner, "incarnation": newest.incarnation, "applied": newest.sequence, "fresh": False}
+            if newest is not None
+            else {}
+        )
+        return list(
+            self.ledger.answer(
+                Answer(proxy, reader.zone, LIFE, self.sequence, self.now, **{**fields, **more}),  # type: ignore[arg-type]
+                self.now,
+            )
+        )
+
+    def order(
+        self, proxy: int, *parts: Part, mark: int | None = None, shut: tuple[str, ...] = (), back: tuple[str, ...] = ()
+    ) -> None:
         assert self.ledger.order(Message(proxy, parts, tuple(map(digest, shut)), tuple(map(digest, back)), mark))
 
     def push(self) -> list[Orders]:
@@ -59,9 +67,15 @@
         return files
 
 
-def table(lines: dict[str, float], whole: bool = True, places: tuple[int, ...] = (0,), level: float | None = None) -> Part:
-    return Part(places, whole, tuple((digest(s), w) for s, w in lines.items()),
-                None if level is None else (level, Retry.ONCE_IF_UNTRIED))
+def table(
+    lines: dict[str, float], whole: bool = True, places: tuple[int, ...] = (0,), level: float | None = None
+) -> Part:
+    return Part(
+        places,
+        whole,
+        tuple((digest(s), w) for s, w in lines.items()),
+        None if level is None else (level, Retry.ONCE_IF_UNTRIED),
+    )
 
 
 def test_a_first_answer_joins_and_says_that_it_lives() -> None:
@@ -154,18 +168,24 @@
     desk.now += 14_000.0
     assert desk.push() == []
     desk.now += 1_000.0
-    again, = desk.push()
+    (again,) = desk.push()
     assert again.until == desk.now + 30_000.0 and again.tables == ()
 
 
 def test_reports_become_what_the_module_hears_and_spoilt_ones_nothing() -> None:
     desk = Desk()
     stream, *_ = desk.join(0)
-    heard = desk.answer(0, over=1000.0, came=(Came("read", 12, 1), Came("nothing", 5)),
-                        met=(Met("a", 9, 1, 80.0, {"outstanding": 3.0}), Met("unknown", 9), Met("b", 1, 2)))
+    heard = desk.answer(
+        0,
+        over=1000.0,
+        came=(Came("read", 12, 1), Came("nothing", 5)),
+        met=(Met("a", 9, 1, 80.0, {"outstanding": 3.0}), Met("unknown", 9), Met("b", 1, 2)),
+    )
     assert isinstance(stream, Stream)
-    assert heard[1:] == [Said(0, face.DemandReport(0, 0, 12, 1, 1000.0), stream.line),
-                         face.ServerReport(0, digest("a"), 9, 1, 80.0, 1000.0, (3.0,))]
+    assert heard[1:] == [
+        Said(0, face.DemandReport(0, 0, 12, 1, 1000.0), stream.line),
+        face.ServerReport(0, digest("a"), 9, 1, 80.0, 1000.0, (3.0,)),
+    ]
     assert desk.answer(0, over=0.0, came=(Came("read", 12, 1),))[1:] == []
 
 
@@ -193,7 +213,7 @@
     stream, *_ = desk.join(0)
     desk.now += SILENT_ANSWERS * 1000.0
     assert list(desk.ledger.silent(desk.now)) == []
-    gone, = desk.ledger.silent(desk.now + 1.0)
+    (gone,) = desk.ledger.silent(desk.now + 1.0)
     assert isinstance(stream, Stream) and gone == Ended(0, stream.line) and desk.ledger.forwarders == {}
 
 
@@ -205,7 +225,7 @@
     later = Incarnation(0, 999_999, 3)
     desk.answer(0, incarnation=later, applied=40)
     assert desk.ledger.incarnation is not None and desk.ledger.incarnation > later
-    again, = desk.push()
+    (again,) = desk.push()
     assert again.whole and again.sequence == 1 and again.incarnation == desk.ledger.incarnation
 
 
@@ -214,11 +234,11 @@
     desk.join(0)
     desk.order(0, table({"a": 1.0}))
     assert desk.ledger.book(Booking("n0.1", "book", 3, NOW + 5000.0), NOW)
-    first, = desk.push()
+    (first,) = desk.push()
     assert [b.id for b in first.bookings] == ["n0.1"]
     desk.now += 6000.0
     desk.order(0, table({"b": 1.0}, whole=False))
-    second, = desk.push()
+    (second,) = desk.push()
     assert second.bookings == ()
 
 
@@ -228,5 +248,5 @@
     desk.order(0, table({"a": 1.0}))
     desk.push()
     desk.ledger.whole_again("east", None)
-    again, = desk.push()
+    (again,) = desk.push()
     assert again.whole and again.sequence == 2
--- a/tests/files/test_prevail.py
+++ b/tests/files/test_prevail.py
@@ -13,8 +13,9 @@
 LIFE = Incarnation(0, 1, 1)
 
 
-def held(planner: str, made: float, lines: dict[str, float], withdrawn: tuple[str, ...] = (),
-         until: float = 60_000.0) -> Held:
+def held(
+    planner: str, made: float, lines: dict[str, float], withdrawn: tuple[str, ...] = (), until: float = 60_000.0
+) -> Held:
     orders = Orders(planner, LIFE, 1, made, until, "east", tables=(Table("read", lines),), withdrawn=withdrawn)
     return Held(orders, orders, content_of(orders))
 
@@ -96,8 +97,11 @@
     assert found.choose(9999.0).source is Source.KEPT
     choice = found.choose(10_000.0)
     assert choice.source is Source.EVEN and choice.content.tables == {"read": {"a": 1.0, "b": 1.0}}
-    refusing = Prevailing(msgspec.structs.replace(TERMS, after="refuse") if isinstance(TERMS, msgspec.Struct) else
-                          Terms(TERMS.silence, TERMS.life, TERMS.keep, "refuse"))
+    refusing = Prevailing(
+        msgspec.structs.replace(TERMS, after="refuse")
+        if isinstance(TERMS, msgspec.Struct)
+        else Terms(TERMS.silence, TERMS.life, TERMS.keep, "refuse")
+    )
     refusing.file("n0", held("n0", 1000.0, {"a": 1.0}, until=5000.0), 1000.0)
     assert refusing.choose(10_000.0).source is Source.NOTHING
 
--- a/tests/files/test_push.py
+++ b/tests/files/test_push.py
@@ -17,7 +17,7 @@
 def test_content_that_comes_during_an_attempt_goes_next() -> None:
     pusher = Pusher(Pace(), 1)
     pusher.offer("a", b"1", 1, 0.0)
-    first, = pusher.attempts(0.0)
+    (first,) = pusher.attempts(0.0)
     pusher.offer("a", b"2", 2, 1.0)
     assert pusher.attempts(1.0) == []
     pusher.ended(first, True, 2.0)
@@ -40,15 +40,15 @@
     pusher.offer("a", b"1", 1, 0.0)
     now, waits = 0.0, []
     for _ in range(30):
-        attempt, = pusher.attempts(now)
+        (attempt,) = pusher.attempts(now)
         pusher.ended(attempt, False, now)
         due = pusher.next_at(now)
         assert due is not None
         waits.append(due - now)
         now = due
-    assert all(0 <= wait <= min(MOST_WAIT, FIRST_WAIT * 2 ** n) for n, wait in enumerate(waits))
+    assert all(0 <= wait <= min(MOST_WAIT, FIRST_WAIT * 2**n) for n, wait in enumerate(waits))
     assert max(waits[10:]) > 20 * FIRST_WAIT and len(set(waits)) == 30
-    attempt, = pusher.attempts(now)
+    (attempt,) = pusher.attempts(now)
     pusher.ended(attempt, True, now)
     assert pusher.targets["a"].failures == 0 and pusher.next_at(now) is None
 
@@ -66,7 +66,7 @@
 def test_an_attempt_that_hangs_gives_its_slot_back_and_ends_without_effect() -> None:
     pusher = Pusher(Pace(), 1, under_way_most=1)
     pusher.offer("a", b"x", 1, 0.0)
-    hung, = pusher.attempts(0.0)
+    (hung,) = pusher.attempts(0.0)
     pusher.offer("b", b"x", 1, 1.0)
     assert pusher.attempts(STUCK - 1) == []
     assert [attempt.target for attempt in pusher.attempts(STUCK)] == ["b"]
@@ -77,7 +77,7 @@
 def test_what_readers_confirm_only_rises_and_a_target_can_be_forgotten() -> None:
     pusher = Pusher(Pace(), 1)
     pusher.offer("a", b"x", 7, 0.0)
-    attempt, = pusher.attempts(0.0)
+    (attempt,) = pusher.attempts(0.0)
     assert [pusher.confirm("a", number, 1.0) for number in (5, 4, 7)] == [True, False, True]
     pusher.forget("a")
     pusher.ended(attempt, True, 2.0)
--- a/tests/files/test_real.py
+++ b/tests/files/test_real.py
@@ -57,8 +57,12 @@
         ids.learn("a")
         desk = desk_at(places, posted, ids)
         running = asyncio.create_task(desk.run())
-        reader = Reader(Place("east", 0, (f"{places.out}/zone-east",), places.answers, str(tmp_path / "state")),
-                        SystemDisk(), unix, lambda: KEYS)
+        reader = Reader(
+            Place("east", 0, (f"{places.out}/zone-east",), places.answers, str(tmp_path / "state")),
+            SystemDisk(),
+            unix,
+            lambda: KEYS,
+        )
         await reader.start()
         assert await reader.answer(5.0, 0.0, (), (), True) is None
         await until(lambda: any(isinstance(item, Stream) for item in posted))
@@ -66,7 +70,7 @@
         part = Part((0,), True, ((digest("a"), 1.5),), (0.9, Retry.ONCE_IF_UNTRIED))
         desk.deliver([(stream.line, Message(0, (part,), mark=3))])
         await until(lambda: (tmp_path / "out/zone-east/orders-n0.table").exists())
-        taken, = await reader.look()
+        (taken,) = await reader.look()
         assert isinstance(taken, Taken) and taken.held.content.tables == {"read": {"a": 1.5}}
         assert await reader.look() == []
         await reader.answer(5.0, 0.0, (), (), False)
@@ -103,7 +107,8 @@
         places = folders(tmp_path)
         later = Incarnation(0, int(unix()) + 1_000_000, 5)
         (tmp_path / "out/zone-east/orders-n0.table").write_bytes(
-            encode(Orders("n0", later, 9, unix(), unix() + 1000.0, "east"), KEYS))
+            encode(Orders("n0", later, 9, unix(), unix() + 1000.0, "east"), KEYS)
+        )
         desk = desk_at(places, [], Ids())
         running = asyncio.create_task(desk.run())
         await until(lambda: desk.ledger.incarnation is not None)
@@ -132,8 +137,16 @@
 
 
 def orders(sequence: int, made: float, **more: object) -> Orders:
-    return Orders("n0", Incarnation(0, 1, 1), sequence, made, made + 60_000.0, "east",
-                  tables=(Table("read", {"a": float(sequence)}),), **more)  # type: ignore[arg-type]
+    return Orders(
+        "n0",
+        Incarnation(0, 1, 1),
+        sequence,
+        made,
+        made + 60_000.0,
+        "east",
+        tables=(Table("read", {"a": float(sequence)}),),
+        **more,
+    )  # type: ignore[arg-type]
 
 
 def test_follow_and_serve(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
@@ -153,4 +166,8 @@
     assert json.loads(capsys.readouterr().out)["stage"] == "order"  # also after a restart
     (place / "orders-n0.table").write_bytes(encode(orders(4, now)))
     assert root.run(["files", "serve", *words, "--out", str(out), "--command", f"cat > {tmp_path}/got"]) == 0
-    assert json.loads(out.read_text())["tables"] == {"read": {"a": 4.0}} == json.loads((tmp_path / "got").read_text())["tables"]
+    assert (
+        json.loads(out.read_text())["tables"]
+        == {"read": {"a": 4.0}}
+        == json.loads((tmp_path / "got").read_text())["tables"]
+    )
--- a/tests/files/test_swap.py
+++ b/tests/files/test_swap.py
@@ -42,6 +42,7 @@
 
 def test_a_swap_without_sync_would_be_seen_to_tear() -> None:
     """The check can fail: without the file's sync some outcome is no whole file."""
+
     class Careless(ModelDisk):
         def sync(self, handle: int) -> None:
             pass
@@ -97,8 +98,10 @@
     assert isinstance(found, Refusal) and found.stage is (Stage.SIZE if what == "huge" else Stage.OPEN)
 
 
-@pytest.mark.parametrize("name", ["../x.table", "/etc/x.table", "a/b.table", ".x.table", "x.table.part", "x", "\x00.table",
-                                  "a" * 200 + ".table"])
+@pytest.mark.parametrize(
+    "name",
+    ["../x.table", "/etc/x.table", "a/b.table", ".x.table", "x.table.part", "x", "\x00.table", "a" * 200 + ".table"],
+)
 def test_names_that_leave_the_folder_or_are_half_written_are_not_taken(name: str) -> None:
     assert not safe_name(name)
     assert isinstance(read_file(SystemDisk(), "/", name), Refusal)
--- a/tests/forwarder/test_forwarder.py
+++ b/tests/forwarder/test_forwarder.py
@@ -40,10 +40,25 @@
     assert reader.take("CONFIG nonce_out=8") == Order((whole.parts[1].__class__(mark=8),))
 
 
-@pytest.mark.parametrize("line", [
-    "PONG", "CONFIG what=1", "CONFIG routes=read routes=read", "CONFIG admit=0.5", "CONFIG policy=1",
-    "CONFIG endpoints=a", "CONFIG endpoints=a:-1", "CONFIG endpoints=a:1e5", "CONFIG endpoints=:1",
-    "CONFIG admit=x policy=1", "CONFIG admit=1 policy=4", "CONFIG full=2", "CONFIG nonce_out=x", "CONFIG full"])
+@pytest.mark.parametrize(
+    "line",
+    [
+        "PONG",
+        "CONFIG what=1",
+        "CONFIG routes=read routes=read",
+        "CONFIG admit=0.5",
+        "CONFIG policy=1",
+        "CONFIG endpoints=a",
+        "CONFIG endpoints=a:-1",
+        "CONFIG endpoints=a:1e5",
+        "CONFIG endpoints=:1",
+        "CONFIG admit=x policy=1",
+        "CONFIG admit=1 policy=4",
+        "CONFIG full=2",
+        "CONFIG nonce_out=x",
+        "CONFIG full",
+    ],
+)
 def test_what_cannot_be_read_is_unusable(line: str) -> None:
     with pytest.raises(Unusable):
         OrderReader().take(line)
@@ -97,10 +112,15 @@
     assert {choose(held, "two", chance, {"a": 3}) for _ in range(50)} == {"b"}
 
 
-@given(st.sets(st.sampled_from("abc")), st.sets(st.sampled_from("abc")), st.sampled_from(("two", "weighted", "round")),
-       st.integers(0, 99))
-def test_never_one_tried_and_one_kept_off_only_if_no_other_is_left(avoid: set[str], tried: set[str], pick: str,
-                                                                   seed: int) -> None:
+@given(
+    st.sets(st.sampled_from("abc")),
+    st.sets(st.sampled_from("abc")),
+    st.sampled_from(("two", "weighted", "round")),
+    st.integers(0, 99),
+)
+def test_never_one_tried_and_one_kept_off_only_if_no_other_is_left(
+    avoid: set[str], tried: set[str], pick: str, seed: int
+) -> None:
     held = holdings("CONFIG routes=read full=1 endpoints=a:1,b:1,c:0.01").routes["read"]
     found = choose(held, pick, random.Random(seed), {}, sorted(avoid), sorted(tried))
     left = {"a", "b", "c"} - tried
--- a/tests/frames.py
+++ b/tests/frames.py
@@ -78,8 +78,15 @@
     return record(7, struct.pack(">HHHfB", instance, proxy, zone, rate, 1))
 
 
-def digest(number: int, zone: int = 0, tries: int = 10, bad: int = 0, mean: float = 100.0, instance: int = 0,
-           window: float = 1000.0) -> bytes:
+def digest(
+    number: int,
+    zone: int = 0,
+    tries: int = 10,
+    bad: int = 0,
+    mean: float = 100.0,
+    instance: int = 0,
+    window: float = 1000.0,
+) -> bytes:
     fixed = struct.pack(">HH", instance, zone) + server(number)
     return record(10, fixed + struct.pack(">IIddBf", tries, bad, mean, window, 1, 3.0))
 
