Descriptors count until their sockets are closed, so that a crowd goes over no limit

The logs tell "closed as no descriptor is left" all through the crowd.

Cause: Links.listen took `make_room() is True` for room. The connection told to go keeps its descriptor until the transport's connection_lost has run, in the loop's next turn, and sock_accept gives what waits in the backlog without a turn in between: up to ACCEPT_BURST (64) were taken for as many that were still open. In the same way attend and probe took a connection off the count in the turn in which its end was decided.

Change: `peers` and `probing` hold what they count until its socket is closed, and the listener waits for that close where it has told one to go. Results of probes and ends of streams are posted when they were before.

--- a/stackwheel/wire/http.py
+++ b/stackwheel/wire/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable
 from dataclasses import dataclass
 from enum import IntEnum
@@ -131,11 +132,32 @@
             _, writer = self.dialling.result()
             writer.transport.abort()
 
+    async def closed(self) -> None:
+        """Until the call holds no descriptor: `close` only begins that, the transport closes its socket in a later
+        turn of the loop, and so does a dial that was cancelled."""
+        if self.dialling is None:
+            return
+        await asyncio.wait({self.dialling})
+        if not self.dialling.cancelled() and self.dialling.exception() is None:
+            _, writer = self.dialling.result()
+            await socket_closed(writer)
+
+
+async def socket_closed(writer: asyncio.StreamWriter) -> None:
+    """Until a transport that is being closed has closed its socket."""
+    with contextlib.suppress(Exception):  # what ended the connection; the reader got it too
+        await writer.wait_closed()
+
 
 async def get(
     address: str, target: str, dial: float, answer: float, most: int = timing.BODY_MOST
 ) -> bytes | CallFailed:
-    call = Call(address, target)
+    """The body of one call's answer, at most `most` bytes of it; the limits are in ms, as for `Call`."""
+    return await exchange(Call(address, target), dial, answer, most)
+
+
+async def exchange(call: Call, dial: float, answer: float, most: int = timing.BODY_MOST) -> bytes | CallFailed:
+    """The body of a call's answer; the call is closed by then."""
     try:
         failed = await call.open(dial, answer)
         return failed if failed is not None else await call.body(answer, most)
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -21,10 +21,10 @@
 from stackwheel.wire import timing
 from stackwheel.wire.datagrams import Datagrams
 from stackwheel.wire.discovery import Discovery, Move
-from stackwheel.wire.http import split_address
+from stackwheel.wire.http import socket_closed, split_address
 from stackwheel.wire.lines import Encoder
 from stackwheel.wire.peer import Peer, RateLimiter, Waiting
-from stackwheel.wire.probes import probe
+from stackwheel.wire.probes import probe, probe_call
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,8 +74,9 @@
         self.datagrams = Datagrams(addresses.peers, addresses.peers_all, settings.planner, lambda item: self.post(item))
         self.unidentified: dict[Peer, None] = {}  # the first to come first
         self.arriving = 0  # connections taken, but not attended yet
-        self.probing = 0  # probes under way
-        self.peers: dict[Peer, None] = {}  # all connections that are attended, the first to come first
+        self.probing = 0  # probes that hold a descriptor
+        self.peers: dict[Peer, None] = {}  # attended, until their sockets are closed; the first to come first
+        self.released = asyncio.Event()  # set whenever one of these has given its descriptor back
         self.collectors: dict[int, list[Peer]] = {}  # of each zone; the older ones are heard too
         self.limiters: dict[int, RateLimiter] = {}  # of proxies, whatever connection they have
         self.waiting = Waiting(timing.waiting_most(addresses.memory_mb))
@@ -134,8 +135,7 @@
         while True:
             while self.arriving >= timing.ACCEPT_BURST:
                 await asyncio.sleep(0)
-            while self.full() and not self.make_room():
-                await asyncio.sleep(timing.YOUNG / 5000.0)
+            await self.room()
             try:
                 connection, _ = await loop.sock_accept(listener)
             except OSError as error:
@@ -146,7 +146,17 @@
             self.arriving += 1
             self.keep(self.attend(connection))
 
+    async def room(self) -> None:
+        """Wait until another connection may be held. One told to go makes no room before its socket is closed."""
+        while self.full():
+            self.released.clear()
+            if self.make_room():
+                await self.released.wait()
+            else:
+                await asyncio.sleep(timing.YOUNG / 5000.0)
+
     def full(self) -> bool:
+        """Whether connections and probes hold all descriptors they may: those being closed still hold theirs."""
         return self.arriving + len(self.peers) + self.probing >= max(1, self.addresses.sockets - timing.KEPT_SOCKETS)
 
     def make_room(self) -> bool:
@@ -169,6 +179,7 @@
         except OSError as error:
             logger.info("a connection ended before it was attended: {}", error)
             connection.close()
+            self.released.set()
             return
         finally:
             self.arriving -= 1
@@ -187,11 +198,15 @@
         self.known(peer, False)
         try:
             await peer.run()
+        except Exception as error:
+            logger.exception("{}: fault {!r}", peer, error)
         finally:
-            self.peers.pop(peer, None)
             self.unidentified.pop(peer, None)
             if peer.zone is not None:
                 self.collectors[peer.zone].remove(peer)
+        await socket_closed(writer)
+        self.peers.pop(peer, None)
+        self.released.set()
 
     def limiter(self, proxy: int) -> RateLimiter:
         """The limit of messages is of a proxy: a new stream begins no new count."""
@@ -240,10 +255,13 @@
 
     def probe(self, server: Server, asked: Asked) -> None:
         async def ask() -> None:
+            call = probe_call(asked.address, self.names)
             try:
-                self.post(Probed(asked, await probe(server, asked.address, self.names, self.clock)))
+                self.post(Probed(asked, await probe(server, call, self.names, self.clock)))
             finally:
+                await call.closed()
                 self.probing -= 1
+                self.released.set()
 
         if self.full():  # connections that come need the descriptors
             return
--- a/stackwheel/wire/probes.py
+++ b/stackwheel/wire/probes.py
@@ -7,15 +7,20 @@
 from stackwheel.settings import Names
 from stackwheel.state.clock import Clock
 from stackwheel.wire import timing
-from stackwheel.wire.http import CallFailed, Stage, get
+from stackwheel.wire.http import Call, CallFailed, Stage, exchange
 from stackwheel.wire.lines import FieldError, read_load
 from stackwheel.wire.values import columns_in_order
 
 
-async def probe(server: Server, address: str, names: Names, clock: Clock) -> face.ProbeResult:
+def probe_call(address: str, names: Names) -> Call:
+    """The call that probes the server at an address, not yet opened."""
+    return Call(address, "/stats" if names.load_on_probe else "/health/live")
+
+
+async def probe(server: Server, call: Call, names: Names, clock: Clock) -> face.ProbeResult:
+    """Make the call, and tell what came of it."""
     began = clock.now()
-    target = "/stats" if names.load_on_probe else "/health/live"
-    body = await get(address, target, timing.PROBE, timing.PROBE, timing.PROBE_MOST)
+    body = await exchange(call, timing.PROBE, timing.PROBE, timing.PROBE_MOST)
     elapsed = clock.now() - began
     if isinstance(body, CallFailed):
         return face.ProbeResult(server, outcome(body), elapsed)
