--- a/stackwheel/wire/timing.py
+++ b/stackwheel/wire/timing.py
@@ -26,8 +26,8 @@
 LISTEN_BACKLOG = 4096  # connections that wait to be accepted: every proxy may come at once; the kernel's usual most
 # Descriptors that connections and probes leave to the rest of the process, each counted until it is closed: 3 standard
 # streams, 3 of the loop, 1 listener, 1 datagram socket, 1 file being read, 4 calls for the list (a watch, its successor
-# with a whole list, a fetch) and as many just given up, 1 connection accepted in the turn in which a probe took the last
-# place: 18. The others are for what the process inherits.
+# with a whole list, a fetch) and as many just given up, 1 connection accepted in the turn in which a probe took the
+# last place: 18. The others are for what the process inherits.
 KEPT_SOCKETS = 32
 JITTER = 50.0  # by which batches come earlier or later than the cycle says, and writes after them
 SILENT_CYCLES = 4  # of reports: a proxy with requests says something each cycle
