Undo the import circle of service/app with extras, and the command line's import of __main__

service/extras imported types of service/app, which imported it in turn; cli/serve imported __main__. The types that an extra transport needs are in service/ports.py (Extra, PlannerContext), and the process around the planner is service/process.py, which both __main__ and cli/serve call.

--- a/stackwheel/__main__.py
+++ b/stackwheel/__main__.py
@@ -2,43 +2,15 @@
 
 from __future__ import annotations
 
-import os
-import signal
 import sys
-from types import FrameType
-
-
-def stop(_signal: int, _frame: FrameType | None) -> None:
-    """There is nothing to save: proxies keep their tables, and a new start begins from nothing."""
-    os._exit(0)
-
-
-def main() -> int:
-    signal.signal(signal.SIGTERM, stop)  # before anything that takes time
-    signal.signal(signal.SIGINT, stop)
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # it waits until there is something to reload
-    import asyncio
-
-    from stackwheel.service.app import serve
-    from stackwheel.service.config import ConfigError, load_config
-    from stackwheel.service.logs import start_logging
-
-    config = load_config()
-    if isinstance(config, ConfigError):
-        print(f"stackwheel: {config.reason}", file=sys.stderr)
-        return 2
-    start_logging(config.name, os.environ.get("STACKWHEEL_LOG", "INFO"))
-    try:
-        asyncio.run(serve(config))
-    except OSError as error:
-        print(f"stackwheel: {error}", file=sys.stderr)
-        return 2
-    return 0
 
 
 def command() -> int:
+    """Exit code of the planner, or of the command line if there are arguments."""
     if len(sys.argv) == 1:
-        return main()
+        from stackwheel.service.process import main as run_planner
+
+        return run_planner()
     from stackwheel.cli.entry import main as command_line
 
     return command_line()
--- a/stackwheel/cli/serve.py
+++ b/stackwheel/cli/serve.py
@@ -8,6 +8,6 @@
 @click.command()
 def serve() -> int:
     """Run one planner, configured by the file that ROUTER_CONFIG names, until SIGTERM."""
-    from stackwheel.__main__ import main
+    from stackwheel.service.process import main
 
     return main()
--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -10,12 +10,12 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
-from typing import Protocol
 
 from loguru import logger
 
 from stackwheel.interface import Settings
 from stackwheel.service.config import Config, ConfigError, load_config
+from stackwheel.service.ports import Extra, PlannerContext
 from stackwheel.service.reload import Reload
 from stackwheel.state.clock import Clock
 from stackwheel.state.ids import Ids
@@ -41,15 +41,7 @@
     return replace(settings, message_window=max(0.0, settings.message_window - JITTER))
 
 
-class Extra(Protocol):
-    """Another way of speaking beside the sockets: it gets all orders, and takes those of its own forwarders."""
-
-    def deliver(self, messages: Sequence[tuple[Line, Message]]) -> None: ...
-
-    async def run(self) -> None: ...
-
-
-def no_extras(service: Service) -> list[Extra]:
+def no_extras(context: PlannerContext) -> list[Extra]:
     return []
 
 
@@ -64,7 +56,7 @@
     steady: Callable[[], float] = time.monotonic  # s
     listen_at: Callable[[str], socket.socket] = stand_open
     load: Callable[[], Config | ConfigError] = load_config
-    extras: Callable[[Service], list[Extra]] = no_extras
+    extras: Callable[[PlannerContext], list[Extra]] = no_extras
     settle: Callable[[], None] = lambda: None  # once all that stays has been made
     signals_on: Callable[[], None] = lambda: None  # once signals find somebody who hears them
 
@@ -79,14 +71,14 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
 
-def operators_extras(service: Service) -> list[Extra]:
+def operators_extras(context: PlannerContext) -> list[Extra]:
     """What the operators' file turns on; without the variable nothing of it is even imported."""
     path = os.environ.get(OPERATORS)
     if not path:
         return []
     from stackwheel.service.extras import build
 
-    return build(service, path)
+    return build(context, path)
 
 
 PROCESS = Surroundings(extras=operators_extras, settle=settle_memory, signals_on=unblock_reload)
@@ -117,7 +109,9 @@
         self.links = Links(
             config.addresses, config.settings, config.names, self.roster, self.clock, around.listen_at, config.seed
         )
-        self.extras = around.extras(self)
+        self.extras = around.extras(
+            PlannerContext(config, self.clock, self.roster, lambda item: self.module.post(item))
+        )
         outside = Outsides(self.links, self.extras) if self.extras else self.links
         self.module = Module(
             on_sockets(config.settings),
--- a/stackwheel/service/extras.py
+++ b/stackwheel/service/extras.py
@@ -4,7 +4,6 @@
 
 import random
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 from stackwheel.files.codec import NO_KEYS
 from stackwheel.files.desk import FileDesk, Folders
@@ -14,33 +13,31 @@
 from stackwheel.files.push import Pace, Pusher
 from stackwheel.operators.load import OperatorsError, load
 from stackwheel.operators.schema import Files
-
-if TYPE_CHECKING:
-    from stackwheel.service.app import Extra, Service
+from stackwheel.service.ports import Extra, PlannerContext
 
 
 class ExtrasError(OSError):
     """The operators' file can't be used; a start ends with this one line."""
 
 
-def build(service: Service, path: str) -> list[Extra]:
+def build(context: PlannerContext, path: str) -> list[Extra]:
     """ExtrasError where the file, or one that it names, can't be used."""
     try:
         found = load(Path(path)).records
-        return [file_desk(service, found.files)] if found.files.on else []
+        return [file_desk(context, found.files)] if found.files.on else []
     except (OperatorsError, KeyFileError) as error:
         raise ExtrasError(str(error)) from None
 
 
-def file_desk(service: Service, files: Files) -> FileDesk:
-    config = service.config
+def file_desk(context: PlannerContext, files: Files) -> FileDesk:
+    config = context.config
     keys = load_keys(Path(files.keys)) if files.keys else NO_KEYS
     ledger = Ledger(
         config.name,
         config.names,
         config.settings.proxies,
         Terms(files.life, files.whole_every, config.settings.cycle),
-        service.roster.ids.name,
+        context.roster.ids.name,
         random.Random(config.seed).getrandbits(48),
     )
     pusher = Pusher(Pace(files.pace.cap, files.pace.span, files.pace.least), config.seed, files.under_way)
@@ -49,7 +46,7 @@
         pusher,
         Folders(files.out, files.answers),
         SystemDisk(),
-        service.clock.now,
-        lambda item: service.module.post(item),
+        context.clock.now,
+        context.post,
         keys,
     )
--- /dev/null
+++ b/stackwheel/service/ports.py
@@ -0,0 +1,32 @@
+"""What the planner and other ways of speaking to proxies offer each other; types only."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from stackwheel.service.config import Config
+from stackwheel.state.clock import Clock
+from stackwheel.state.module import Item
+from stackwheel.state.orders import Message
+from stackwheel.state.roster import Roster
+from stackwheel.state.streams import Line
+
+
+class Extra(Protocol):
+    """A transport beside the sockets: it gets all orders, and takes those of its own proxies."""
+
+    def deliver(self, messages: Sequence[tuple[Line, Message]]) -> None: ...
+
+    async def run(self) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerContext:
+    """The parts of one planner that an extra transport may use."""
+
+    config: Config
+    clock: Clock
+    roster: Roster
+    post: Callable[[Item], None]  # into the module's mailbox; never blocks
--- a/stackwheel/trials/exchange.py
+++ b/stackwheel/trials/exchange.py
@@ -22,6 +22,7 @@
 from stackwheel.files.reader import Place, Reader, Taken
 from stackwheel.files.records import Booking, Came, Incarnation, Met
 from stackwheel.rules.verdicts import Rule
+from stackwheel.service.ports import PlannerContext
 from stackwheel.state.module import Item
 from stackwheel.state.streams import Stream
 from stackwheel.trials.disks import TrialDisk
@@ -29,7 +30,6 @@
 from stackwheel.trials.planners import EPOCH
 
 if TYPE_CHECKING:
-    from stackwheel.service.app import Service
     from stackwheel.trials.planners import PlannerHost
     from stackwheel.trials.proxies import Proxy
     from stackwheel.trials.world import World
@@ -94,14 +94,14 @@
 
     # planners
 
-    def extras(self, host: PlannerHost, service: Service) -> list[Any]:
-        disk, config = self.disks[host.machine.name], service.config
+    def extras(self, host: PlannerHost, context: PlannerContext) -> list[Any]:
+        disk, config = self.disks[host.machine.name], context.config
         ledger = Ledger(
             config.name,
             config.names,
             config.settings.proxies,
             Terms(LIFE, 10, config.settings.cycle),
-            service.roster.ids.name,
+            context.roster.ids.name,
             config.seed & 0xFFFF,
         )
         cap = config.settings.message_cap
@@ -111,8 +111,8 @@
             pusher,
             Folders("/out", "/answers"),
             disk,
-            service.clock.now,
-            lambda item: self.heard(host, service, item),
+            context.clock.now,
+            lambda item: self.heard(host, context, item),
             KEYS,
             self.aside(disk),
             0.1,
@@ -120,12 +120,12 @@
         host.desk = desk
         return [desk]
 
-    def heard(self, host: PlannerHost, service: Service, item: Item) -> None:
+    def heard(self, host: PlannerHost, context: PlannerContext, item: Item) -> None:
         """What the desk posts: a forwarder that joins by files counts as joined."""
         if isinstance(item, Stream):
             self.joined[item.proxy] = host.number
             self.world.checker.joined(item.proxy, host.number, self.world.ms())
-        service.module.post(item)
+        context.post(item)
 
     def planner_down(self, planner: int) -> None:
         self.joined = {proxy: one for proxy, one in self.joined.items() if one != planner}
