--- a/stackwheel/files/ledger.py
+++ b/stackwheel/files/ledger.py
@@ -118,10 +118,10 @@
                 elif part.whole:
                     content.levels[route] = None
                 forwarder.ordered |= part.whole
-        for server in message.shut:
+        for server in message.eject:
             if (name := self.name_of(server)) is not None:
                 forwarder.out[name] = None
-        for server in message.back:
+        for server in message.restore:
             forwarder.out.pop(self.name_of(server) or "", None)
         content.withdrawn = tuple(forwarder.out)
         if message.mark is not None:
--- a/stackwheel/forwarder/holdings.py
+++ b/stackwheel/forwarder/holdings.py
@@ -1,4 +1,4 @@
-"""What a forwarder holds: tables, levels, servers shut out; and the choice that follows from it."""
+"""What a forwarder holds: tables, levels, servers ejected; and the choice that follows from it."""
 
 from __future__ import annotations
 
@@ -25,13 +25,13 @@
 class Holdings:
     """Applies whole orders; nothing of an order that can't be used is applied.
 
-    Servers it has shut out stay so when streams change. `listed` holds all that discovery ever listed.
+    Ejected servers stay so when streams change. `listed` holds all that discovery ever listed.
     """
 
     def __init__(self, routes: Iterable[str], listed: Collection[str]) -> None:
         self.routes: dict[str, Held] = {name: Held() for name in routes}
         self.listed = listed
-        self.shut: dict[str, None] = {}
+        self.ejected: dict[str, None] = {}
 
     def bring(self, servers: Iterable[str]) -> None:
         """The standing table that a fresh forwarder starts with: even weights, for every class."""
@@ -64,12 +64,12 @@
             held.lines.update(part.lines)
             held.lines = {server: weight for server, weight in held.lines.items() if weight > 0}
             held.level = part.level or held.level
-        self.shut.update(dict.fromkeys(part.eject))
+        self.ejected.update(dict.fromkeys(part.eject))
         for server in part.restore:
-            self.shut.pop(server, None)
+            self.ejected.pop(server, None)
 
     def refresh(self, held: Held) -> None:
-        held.open = [server for server in held.lines if server not in self.shut]
+        held.open = [server for server in held.lines if server not in self.ejected]
         held.sums, total = [], 0.0
         for server in held.open:
             total += held.lines[server]
--- a/stackwheel/state/orders.py
+++ b/stackwheel/state/orders.py
@@ -31,14 +31,14 @@
 
     proxy: int
     parts: tuple[Part, ...] = ()
-    shut: tuple[Server, ...] = ()
-    back: tuple[Server, ...] = ()
+    eject: tuple[Server, ...] = ()
+    restore: tuple[Server, ...] = ()
     mark: int | None = None
 
     def cost(self) -> int:
         """Its lines, as the channel counts them, but for what every message costs."""
         parts = sum(len(p.lines) + p.whole + (p.level is not None) for p in self.parts)
-        return parts + len(self.shut) + len(self.back) + (self.mark is not None)
+        return parts + len(self.eject) + len(self.restore) + (self.mark is not None)
 
 
 @dataclass(slots=True)
@@ -59,7 +59,7 @@
         self.tables: dict[int, Lines] = {}
         self.levels: dict[int, dict[int, Level]] = {}  # by table and class
         self.withdrawn: dict[Server, None] = {}
-        self.doubt: dict[Server, None] = {}  # withdrawn at some time: who comes with tables may shut it out
+        self.doubt: dict[Server, None] = {}  # withdrawn at some time: who comes with tables may have it ejected
         self.first_mark = 0
 
     def start_over(self) -> None:
@@ -75,7 +75,7 @@
         return (
             server in self.withdrawn
             or any(server in lines for lines in self.tables.values())
-            or any(stream.shut.get(server) for stream in self.streams.by_proxy.values())
+            or any(stream.ejected.get(server) for stream in self.streams.by_proxy.values())
         )
 
     def take(self, actions: Iterable[Action]) -> list[Message]:
@@ -88,7 +88,7 @@
         parts: dict[tuple[object, ...], tuple[Part, ...]] = {}  # proxies of a table share its parts
         messages = [self.message(stream, touched, parts) for stream in self.streams.by_proxy.values()]
         everyone = touched.mark is not None and touched.mark.everyone
-        return [m for m in messages if everyone or m.parts or m.shut or m.back]
+        return [m for m in messages if everyone or m.parts or m.eject or m.restore]
 
     def apply(self, action: Action, touched: Touched) -> None:
         match action:
@@ -130,9 +130,9 @@
 
     def message(self, stream: Stream, touched: Touched, parts: dict[tuple[object, ...], tuple[Part, ...]]) -> Message:
         mine = tuple(self.parts(stream, touched, parts))
-        shut, back = self.health(stream, touched, mine)
+        eject, restore = self.health(stream, touched, mine)
         mark = self.first_mark + touched.mark.mark if touched.mark is not None else None
-        return Message(stream.proxy, mine, shut, back, mark)
+        return Message(stream.proxy, mine, eject, restore, mark)
 
     def parts(
         self, stream: Stream, touched: Touched, known: dict[tuple[object, ...], tuple[Part, ...]]
@@ -176,15 +176,15 @@
         held = [self.tables.get(table, {}) for table in stream.tables()]
         foreign = len(stream.bound) < len(self.classes)
         named = dict.fromkeys(s for part in parts for s, weight in part.lines if weight > 0)
-        news = [s for s in touched.health if foreign or stream.shut.get(s) or any(s in lines for lines in held)]
-        shut: list[Server] = []
-        back: list[Server] = []
+        news = [s for s in touched.health if foreign or stream.ejected.get(s) or any(s in lines for lines in held)]
+        eject: list[Server] = []
+        restore: list[Server] = []
         for server in dict.fromkeys([*news, *named]):
             out = server in self.withdrawn
-            if out != stream.shut.get(server, not stream.fresh and server in self.doubt and not out):
-                (shut if out else back).append(server)
-                stream.shut[server] = out
-        return tuple(shut), tuple(back)
+            if out != stream.ejected.get(server, not stream.fresh and server in self.doubt and not out):
+                (eject if out else restore).append(server)
+                stream.ejected[server] = out
+        return tuple(eject), tuple(restore)
 
     def forget(self, server: Server) -> None:
         self.doubt.pop(server, None)
--- a/stackwheel/state/streams.py
+++ b/stackwheel/state/streams.py
@@ -31,10 +31,10 @@
     proxy: int
     zone: int
     rate: float
-    fresh: bool  # it holds only its standing tables: no planner has shut out anything there
+    fresh: bool  # it holds only its standing tables: no planner has ejected anything there
     line: Line
     bound: dict[int, int] = field(default_factory=dict)  # by class: its table
-    shut: dict[Server, bool] = field(default_factory=dict)  # as ordered on this stream: out, or let back
+    ejected: dict[Server, bool] = field(default_factory=dict)  # as ordered on this stream; False: restored
     asked_at: float | None = None  # when the first mark went out that nothing has been heard since
     marks: dict[int, float] = field(default_factory=dict)  # unanswered, the oldest first: when they went out
 
@@ -111,7 +111,7 @@
     def forget(self, server: Server) -> None:
         """What was let back on a stream need not be known of a server that is gone for good."""
         for stream in self.by_proxy.values():
-            stream.shut.pop(server, None)
+            stream.ejected.pop(server, None)
 
     def fall_silent(self, now: float) -> Iterable[Event]:
         late = now - self.silence
--- a/stackwheel/trials/exchange.py
+++ b/stackwheel/trials/exchange.py
@@ -306,7 +306,7 @@
                 held.lines = dict(choice.content.tables[route])
                 level = choice.content.levels.get(route)
                 held.level = (level.admit, level.policy) if level is not None else None
-        proxy.holdings.shut = dict.fromkeys(choice.content.withdrawn)
+        proxy.holdings.ejected = dict.fromkeys(choice.content.withdrawn)
         for held in proxy.holdings.routes.values():
             proxy.holdings.refresh(held)
         proxy.fresh = False
--- a/stackwheel/trials/planners.py
+++ b/stackwheel/trials/planners.py
@@ -169,7 +169,7 @@
     def believed(
         self, proxy: int
     ) -> tuple[Mapping[int, Mapping[str, float]], Mapping[int, tuple[float, int] | None], Mapping[str, bool]] | None:
-        """By class the lines and the level that it believes a proxy to hold, and what it has shut out there;
+        """By class the lines and the level that it believes a proxy to hold, and what it has ejected there;
         None while something it sent is unanswered, or there is no stream."""
         assert self.service is not None
         module, ids = self.service.module, self.service.roster.ids
@@ -186,8 +186,8 @@
             }
             level = module.orders.level(place, table)
             levels[place] = None if level is None else (level[0], int(level[1]))
-        shut = {name: out for server, out in stream.shut.items() if (name := ids.name(server)) is not None}
-        return lines, levels, shut
+        ejected = {name: out for server, out in stream.ejected.items() if (name := ids.name(server)) is not None}
+        return lines, levels, ejected
 
     def last_mark(self, proxy: int) -> int | None:
         """The newest mark that it has sent a proxy and heard no answer to."""
--- a/stackwheel/trials/world.py
+++ b/stackwheel/trials/world.py
@@ -237,16 +237,16 @@
         believed = host.believed(proxy.number)
         if believed is None:
             return
-        lines, levels, shut = believed
+        lines, levels, ejected = believed
         for place, wanted in lines.items():
             held = proxy.holdings.routes[proxy.routes[place]]
             why = disagreement(held.lines, wanted) or level_disagreement(held.level, levels[place])
             if why is not None:
                 self.checker.break_rule(self.ms(), Rule.AGREES, f"class {place}: {why}", host.number, proxy.number)
-        for server, out in shut.items():
-            if (server in proxy.holdings.shut) != out:
+        for server, out in ejected.items():
+            if (server in proxy.holdings.ejected) != out:
                 self.checker.break_rule(
-                    self.ms(), Rule.AGREES, f"{server} shut out: {not out}, believed {out}", host.number, proxy.number
+                    self.ms(), Rule.AGREES, f"{server} ejected: {not out}, believed {out}", host.number, proxy.number
                 )
 
     def on_wrote(self, end: Transport, data: bytes) -> None:
@@ -569,7 +569,7 @@
         avoid, work = proxy.avoided(now) if proxy.kept_off else (), 0.0
         for place, wanted in enumerate(self.shape.classes):
             held = proxy.holdings.routes[proxy.routes[place]]
-            if server.name not in held.lines or server.name in proxy.holdings.shut:
+            if server.name not in held.lines or server.name in proxy.holdings.ejected:
                 continue
             share = proxy.holdings.shares(proxy.routes[place], avoid).get(server.name, 0.0)
             rate = proxy.rate() * wanted.share
--- a/stackwheel/wire/lines.py
+++ b/stackwheel/wire/lines.py
@@ -194,8 +194,8 @@
             yield self.message(order, bodies)
 
     def message(self, order: Order, bodies: list[str]) -> bytes:
-        if order.shut or order.back or not bodies:
-            health = self.servers("eject", order.shut) + self.servers("restore", order.back)
+        if order.eject or order.restore or not bodies:
+            health = self.servers("eject", order.eject) + self.servers("restore", order.restore)
             bodies = [*bodies, "CONFIG" + health]
         last = "" if order.mark is None else f" nonce_out={order.mark}"
         return (" continued=1\r\n".join(bodies) + last + "\r\n").encode()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -37,7 +37,7 @@
         self.classes, self.servers = classes, servers
         self.lines: dict[str, dict[str, float]] = {name: {} for name in classes}
         self.levels: dict[str, tuple[float, int]] = {}
-        self.shut: set[str] = set()
+        self.ejected: set[str] = set()
         self.parts: list[dict[str, str]] = []
         self.costs: list[int] = []  # lines of each message
         self.marks: list[int] = []
@@ -75,8 +75,8 @@
             self.lines[name] = {s: w for s, w in self.lines[name].items() if w > 0}
             if "admit" in part:
                 self.levels[name] = self.weight(part["admit"]), int(part["policy"])
-        self.shut |= {name for name in part.get("eject", "").split(",") if name}
-        self.shut -= set(part.get("restore", "").split(","))
+        self.ejected |= {name for name in part.get("eject", "").split(",") if name}
+        self.ejected -= set(part.get("restore", "").split(","))
         full, level, mark = part.get("full") == "1", "admit" in part, "nonce_out" in part
         return len(lines) + len(health) + full + level + mark
 
@@ -87,7 +87,7 @@
         return float(text)
 
     def open_lines(self, name: str) -> dict[str, float]:
-        return {s: w for s, w in self.lines[name].items() if s not in self.shut}
+        return {s: w for s, w in self.lines[name].items() if s not in self.ejected}
 
 
 class Discovery(toy.Registry):  # type: ignore[name-defined, misc]
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -210,7 +210,7 @@
     ids, (one,) = known("s-1")
     data = list(
         Encoder(NAMES, ids).encode(
-            [Message(1, mark=7), Message(2, (Part((0,), True),), mark=7), Message(3, shut=(one,), mark=None)]
+            [Message(1, mark=7), Message(2, (Part((0,), True),), mark=7), Message(3, eject=(one,), mark=None)]
         )
     )
     assert data == [b"CONFIG nonce_out=7\r\n", b"CONFIG routes=read full=1 nonce_out=7\r\n", b"CONFIG eject=s-1\r\n"]
@@ -229,7 +229,7 @@
     (data,) = Encoder(NAMES, ids).encode([message])
     marks = [tables.take(line) for line in data.decode().split("\r\n") if line]
     assert marks == [[], [], [905]] and tables.costs == [message.cost()] == [8]
-    assert tables.lines == {"read": {"s-1": 1.5, "s-2": 0.2}, "write": {}} and tables.shut == {"s-3"}
+    assert tables.lines == {"read": {"s-1": 1.5, "s-2": 0.2}, "write": {}} and tables.ejected == {"s-3"}
 
 
 def test_load_columns_come_in_the_settings_order() -> None:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -435,7 +435,7 @@
                             roster.addresses,
                             roster.gone,
                             roster.ids.names,
-                            module.streams.by_proxy[1].shut,
+                            module.streams.by_proxy[1].ejected,
                             module.orders.withdrawn,
                             policy.servers,
                             policy.peers[1][2],
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -148,7 +148,7 @@
     setup.join(3)
     assert list(setup.take(face.Withdraw(ONE, True))) == [3]  # who has joined since does not
     assert list(setup.take(face.Withdraw(ONE, False))) == [0, 2, 3]
-    assert all(not held.shut for held in setup.held.values())
+    assert all(not held.ejected for held in setup.held.values())
 
 
 def test_a_withdrawn_server_in_a_new_table_is_shut_out() -> None:
@@ -156,7 +156,7 @@
     setup.take(face.Withdraw(ONE, True))
     setup.join(0)
     got = setup.take(face.SetWeight(7, ONE, 1.0), face.AssignTable(0, 7, ()))
-    assert got[0].shut == (ONE,) and setup.held[0].open_lines("read") == {}
+    assert got[0].eject == (ONE,) and setup.held[0].open_lines("read") == {}
 
 
 def test_letting_back_costs_no_lines_that_the_policy_does_not_count() -> None:
@@ -164,7 +164,7 @@
     setup = Setup("s-0", "s-1")  # started lately
     setup.join(0, fresh=False)
     got = setup.take(face.SetWeight(7, ONE, 1.0), face.SetWeight(7, TWO, 1.0), face.AssignTable(0, 7, ()))
-    assert (got[0].shut, got[0].back) == ((), ()) and got[0].cost() == 3
+    assert (got[0].eject, got[0].restore) == ((), ()) and got[0].cost() == 3
 
 
 def test_marks_of_an_earlier_life_are_told_apart() -> None:
