A connection's writer stops at its end by one guard, not two

`write` returns where the connection has ended, and asked `speaks` for the same before. Only `retired` is left to ask. Each of the two remaining was taken out in a trial: test_races fails at once (an ended connection spends no message; a superseded stream writes nothing more).

--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -238,11 +238,11 @@
                 data = await self.mailbox.get()
                 order = data is not PONG and self.proxy is not None
                 limiter = self.limiter(self.proxy) if order and self.proxy is not None else None
-                while limiter is not None and self.speaks and (wait := limiter.wait(now())) > 0:
+                while limiter is not None and not self.retired and (wait := limiter.wait(now())) > 0:
                     await asyncio.sleep(wait)
                 if self.ended:
                     return
-                if not order or self.speaks:
+                if not order or not self.retired:
                     if limiter is not None:
                         limiter.wrote(now())
                     self.writer.write(data)
@@ -254,8 +254,3 @@
         except Exception as error:  # else the stream would look alive, and nothing would reach it any more
             logger.exception("{}: fault {!r}", self, error)
             self.end("as nothing can be written to it")
-
-    @property
-    def speaks(self) -> bool:
-        """Whether orders for its proxy may go out here."""
-        return not (self.ended or self.retired)
