--- a/stackwheel/trials/shrink.py
+++ b/stackwheel/trials/shrink.py
@@ -93,16 +93,16 @@
     def drop_names(self) -> None:
         for place in range(len(self.best.faults)):
             for field in FIELDS:
-                at = 0
-                while (
-                    at < len(names := getattr(self.best.faults[place], field, ()))
-                    and len(names) > 1
-                    and (isinstance(names, tuple))
-                ):
-                    fewer = names[:at] + names[at + 1 :]
-                    fault = msgspec.structs.replace(self.best.faults[place], **{field: fewer})
-                    if not self.keeps(self.with_fault(place, fault)):
-                        at += 1
+                self.drop_names_of(place, field)
+
+    def drop_names_of(self, place: int, field: str) -> None:
+        """Names of one field; a field of that name may also be a flag, as `proxies` of a lost zone is."""
+        at = 0
+        while isinstance(names := getattr(self.best.faults[place], field, None), tuple) and at < len(names) > 1:
+            fewer = names[:at] + names[at + 1 :]
+            fault = msgspec.structs.replace(self.best.faults[place], **{field: fewer})
+            if not self.keeps(self.with_fault(place, fault)):
+                at += 1
 
     def with_fault(self, place: int, fault: Fault) -> Script:
         faults = (*self.best.faults[:place], fault, *self.best.faults[place + 1 :])
--- a/tests/trials/test_trials.py
+++ b/tests/trials/test_trials.py
@@ -90,6 +90,18 @@
         Shrinker(draw(1), Rule.DRAINS, 7, lambda script, rule: None).run()
 
 
+def test_shrinking_takes_a_flag_for_no_list_of_names() -> None:
+    """`proxies` of a lost zone says whether they are lost too; of a reset, which they are."""
+    script = s.Script(1, 20.0, s.Shape(), (s.LoseZone(5.0, 0, 4.0, True), s.Reset(6.0, ("proxy-0", "proxy-1"))))
+    needed = script.faults[0]
+
+    def breaks(tried: s.Script, rule: Rule) -> float | None:
+        return 8.0 if needed in tried.faults and len(tried.faults) == 2 else None
+
+    found = Shrinker(script, Rule.DRAINS, 100, breaks).run().script
+    assert found.faults == (needed, s.Reset(6.0, ("proxy-1",)))
+
+
 def test_faults_lose_whom_a_smaller_shape_does_not_have() -> None:
     script = s.Script(
         1, 20.0, s.Shape(proxies=2), (s.Reset(3.0, ("proxy-1", "proxy-5")), s.Reset(4.0, ("proxy-6",)), s.Renumber(5.0))
