Trials: an older word of a former process binds its successor to nothing

Since the program goes by the process (startedAtMs, on one clock): of an older generation a word of a former process counts for nothing, one of a new process does.

Change: the check follows the process, in older generations only; a newer or equal one binds whatever it names, as before. As strict otherwise, and stricter in one: an older word of a former process, ready, no longer replaces or revives a later one.

--- a/stackwheel/rules/checker.py
+++ b/stackwheel/rules/checker.py
@@ -29,6 +29,7 @@
     zone: int
     kind: int
     warm_at: float
+    started: float = 0.0  # when its process did; 0: long ago
 
 
 @dataclass(slots=True)
@@ -39,10 +40,19 @@
     holds_from: float  # no limit runs before
     listed: dict[str, Listed] = field(default_factory=dict)
     away: dict[str, float] = field(default_factory=dict)  # told that it drains or is gone, and when
+    started: dict[str, float] = field(default_factory=dict)  # of the process told of last
     since: dict[str, float] = field(default_factory=dict)  # of a listed server: when its start was told
     able: dict[tuple[int, int], float] = field(default_factory=dict)  # zone and class: a warm server since
     written: dict[int, deque[float]] = field(default_factory=dict)  # messages to a proxy within the window
 
+    def superseded(self, server: str, listed: Listed) -> bool:
+        """Whether a word of an older generation says nothing any more: it is of a process that a later one has
+        followed under the same name, or has one ready that was told to drain or to be gone since."""
+        latest = self.started.get(server, listed.started)
+        if listed.started != latest:
+            return listed.started < latest
+        return listed.availability is Availability.READY and server in self.away
+
 
 @dataclass(slots=True)
 class ProxyState:
@@ -123,11 +133,12 @@
             self.watch(proxy, state, place)
 
     def tell(self, planner: int, now: float, server: str, listed: Listed) -> None:
-        """Discovery has told a planner of a server."""
+        """Discovery has told a planner of a server, and nothing newer before."""
         view = self.planners.get(planner)
         if view is None:
             return
         self.note(now, f"told {listed.availability.name}", f"planner-{planner}", server)
+        view.started[server] = listed.started
         known = view.listed.get(server)
         if listed.availability is Availability.GONE:
             view.listed.pop(server, None)
--- a/tests/rules/test_checker.py
+++ b/tests/rules/test_checker.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from stackwheel.interface import Availability, RequestClass
@@ -128,6 +130,30 @@
     assert not found.verdicts
 
 
+AGAIN = Listed(Availability.READY, 0, 0, 0.0, started=5500.0)  # its next process under the same name
+
+
+@pytest.mark.parametrize("word", [DRAINING, GONE])
+def test_a_newer_word_binds_whatever_process_it_names(word: Listed) -> None:
+    found = checker()
+    found.tell(0, 5000.0, "s", AGAIN)
+    found.tell(0, 6000.0, "s", word)
+    found.sent(0, "s", 9001.0)
+    assert rules(found) == [Rule.DRAINS]
+
+
+@pytest.mark.parametrize("word", [Availability.DRAINING, Availability.GONE])
+def test_an_older_word_says_nothing_of_a_later_process_nor_brings_back_what_went(word: Availability) -> None:
+    found = checker()
+    view = found.planners[0]
+    assert not view.superseded("s", READY)
+    found.tell(0, 5000.0, "s", AGAIN)
+    assert view.superseded("s", READY) and view.superseded("s", replace(READY, availability=word))
+    assert not view.superseded("s", AGAIN) and not view.superseded("s", replace(AGAIN, availability=word))
+    found.tell(0, 6000.0, "s", replace(AGAIN, availability=word))
+    assert view.superseded("s", AGAIN) and not view.superseded("s", replace(AGAIN, started=5501.0))
+
+
 def test_where_only_draining_binds_a_departure_does_not() -> None:
     limits = Limits(
         **{**{name: getattr(LIMITS, name) for name in LIMITS.__dataclass_fields__}, "only_draining_binds": True}
