--- a/stackwheel/cells/assignment.py
+++ b/stackwheel/cells/assignment.py
@@ -14,9 +14,9 @@
 
 from stackwheel.cells.plan import PARTS_MOST, REPLICAS, Cell, Plan, Relay
 
-SERVER_SEEDS: Final = tuple(xxh3_64_intdigest(f"server-part-{part}") for part in range(PARTS_MOST))
-PLANNER_SEEDS: Final = tuple(xxh3_64_intdigest(f"planner-part-{part}") for part in range(PARTS_MOST))
-ORDER_SEED: Final = xxh3_64_intdigest("replica-order")
+SERVER_SEEDS: Final = tuple(xxh3_64_intdigest(b"server-part-%d" % part) for part in range(PARTS_MOST))
+PLANNER_SEEDS: Final = tuple(xxh3_64_intdigest(b"planner-part-%d" % part) for part in range(PARTS_MOST))
+ORDER_SEED: Final = xxh3_64_intdigest(b"replica-order")
 
 
 def service_of(instance_name: str) -> str:
@@ -41,15 +41,18 @@
         return 0
     if not 1 <= parts <= PARTS_MOST:
         raise ValueError(f"{parts} parts, 1 to {PARTS_MOST} are possible")
-    scores = [xxh3_64_intdigest(key, seed) for seed in seeds[:parts]]
+    data = key.encode()
+    scores = [xxh3_64_intdigest(data, seed) for seed in seeds[:parts]]
     return scores.index(max(scores))
 
 
 def replicas(cell_name: str, relays: Iterable[Relay], count: int = REPLICAS) -> tuple[Relay, ...]:
     """The `count` relays that serve a cell, the first choice first; the order of `relays` doesn't matter."""
 
+    key = cell_name.encode()
+
     def score(relay: Relay) -> tuple[int, str]:
-        return xxh3_64_intdigest(cell_name, xxh3_64_intdigest(relay.name)), relay.name
+        return xxh3_64_intdigest(key, xxh3_64_intdigest(relay.name.encode())), relay.name
 
     return tuple(sorted(relays, key=score, reverse=True)[:count])
 
@@ -60,7 +63,7 @@
     Which replica is first follows from the planner's name, so that a cell's planners spread over both.
     """
     found = replicas(cell.name, plan.relays)
-    first = xxh3_64_intdigest(planner_name, ORDER_SEED) % len(found)
+    first = xxh3_64_intdigest(planner_name.encode(), ORDER_SEED) % len(found)
     return ",".join(f"{relay.host}:{cell.port}" for relay in found[first:] + found[:first])
 
 
