--- a/stackwheel/cells/assignment.py
+++ b/stackwheel/cells/assignment.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from typing import Final
 
@@ -28,31 +29,50 @@
 
 def part_of(instance_name: str, parts: int) -> int:
     """The part, from 0 to `parts` - 1, that a server belongs to; O(parts). ValueError over PARTS_MOST parts."""
-    return _highest(instance_name, parts, SERVER_SEEDS)
-
-
-def planner_part(planner_name: str, parts: int) -> int:
-    """The part that a planner belongs to; drawn apart from servers'. ValueError over PARTS_MOST parts."""
-    return _highest(planner_name, parts, PLANNER_SEEDS)
-
-
-def _highest(key: str, parts: int, seeds: tuple[int, ...]) -> int:
     if parts == 1:
         return 0
     if not 1 <= parts <= PARTS_MOST:
         raise ValueError(f"{parts} parts, 1 to {PARTS_MOST} are possible")
-    data = key.encode()
-    scores = [xxh3_64_intdigest(data, seed) for seed in seeds[:parts]]
+    key = _bytes(instance_name)
+    scores = [xxh3_64_intdigest(key, seed) for seed in SERVER_SEEDS[:parts]]
     return scores.index(max(scores))
 
 
+def planner_parts(planner_names: Iterable[str], parts: int) -> dict[str, int]:
+    """The part of each planner of a service, so that no part has more than one planner more than another.
+
+    Each planner, in the order of its hash, takes the part that it scores highest of those with room (rendezvous
+    hashing with bounded loads). It needs all names, unlike `part_of`, because few planners hashed one by one leave
+    parts without any: of 6 a part on average, one part in 400. Equal names count once.
+    ValueError over PARTS_MOST parts.
+    """
+    if not 1 <= parts <= PARTS_MOST:
+        raise ValueError(f"{parts} parts, 1 to {PARTS_MOST} are possible")
+    keys = {name: _bytes(name) for name in planner_names}
+    order = sorted(keys, key=lambda name: (xxh3_64_intdigest(keys[name], ORDER_SEED), name))
+    least, fuller = divmod(len(order), parts)  # `fuller` parts get one planner more
+    held = [0] * parts
+    found: dict[str, int] = {}
+    for name in order:
+        open_parts = [part for part in range(parts) if held[part] < least + (fuller > 0)]
+        part = max(open_parts, key=lambda part: xxh3_64_intdigest(keys[name], PLANNER_SEEDS[part]))
+        held[part] += 1
+        fuller -= held[part] > least
+        found[name] = part
+    return found
+
+
+def _bytes(name: str) -> bytes:
+    return name.encode("utf-8", "surrogatepass")  # JSON may hold half of a pair; a name is hashed whatever it is
+
+
 def replicas(cell_name: str, relays: Iterable[Relay], count: int = REPLICAS) -> tuple[Relay, ...]:
     """The `count` relays that serve a cell, the first choice first; the order of `relays` doesn't matter."""
 
-    key = cell_name.encode()
+    key = _bytes(cell_name)
 
     def score(relay: Relay) -> tuple[int, str]:
-        return xxh3_64_intdigest(key, xxh3_64_intdigest(relay.name.encode())), relay.name
+        return xxh3_64_intdigest(key, xxh3_64_intdigest(_bytes(relay.name))), relay.name
 
     return tuple(sorted(relays, key=score, reverse=True)[:count])
 
@@ -63,7 +83,7 @@
     Which replica is first follows from the planner's name, so that a cell's planners spread over both.
     """
     found = replicas(cell.name, plan.relays)
-    first = xxh3_64_intdigest(planner_name.encode(), ORDER_SEED) % len(found)
+    first = xxh3_64_intdigest(_bytes(planner_name), ORDER_SEED) % len(found)
     return ",".join(f"{relay.host}:{cell.port}" for relay in found[first:] + found[:first])
 
 
@@ -72,26 +92,29 @@
 
     def __init__(self, plan: Plan) -> None:
         self.regions = plan.regions
-        self.groups: dict[tuple[str, str | None], Sequence[Cell | None]] = {}  # region None: all regions
-        collected: dict[tuple[str, tuple[str, ...]], list[Cell | None]] = {}
+        self.groups: dict[tuple[str, str | None], Sequence[Cell]] = {}  # parts in order; region None: all regions
+        collected: defaultdict[tuple[str, str | None], list[Cell]] = defaultdict(list)
         for cell in plan.cells:
-            key = cell.service, tuple(sorted(cell.regions))
-            group = collected.setdefault(key, [None] * cell.parts)
-            group[cell.part] = cell
-        for (service, regions), group in collected.items():
-            for region in regions or (None,):
-                self.groups[service, region] = tuple(group)
+            for region in cell.regions or (None,):
+                collected[cell.service, region].append(cell)
+        for key, group in collected.items():
+            self.groups[key] = tuple(sorted(group, key=lambda cell: cell.part))
 
     def cell_of(self, instance_name: str, zone: str) -> Cell | None:
         """The cell that holds a server, or None where the plan has none; O(parts)."""
         group = self._group(service_of(instance_name), zone)
         return group[part_of(instance_name, len(group))] if group else None
 
-    def cell_of_planner(self, planner_name: str, service: str, zone: str) -> Cell | None:
-        """The cell that a planner of a service belongs to, or None where the plan has none; O(parts)."""
-        group = self._group(service, zone)
-        return group[planner_part(planner_name, len(group))] if group else None
+    def cells_of_planners(self, planner_names: Iterable[str], service: str, region: str | None) -> dict[str, Cell]:
+        """The cell of each planner of a service, or of its planners in a region where the plan cuts it by regions.
+
+        Empty where the plan has no such cell. `region` doesn't matter for a service with cells of all regions.
+        """
+        group = self.groups.get((service, None)) or self.groups.get((service, region), ())
+        if not group:
+            return {}
+        return {name: group[part] for name, part in planner_parts(planner_names, len(group)).items()}
 
-    def _group(self, service: str, zone: str) -> Sequence[Cell | None]:
+    def _group(self, service: str, zone: str) -> Sequence[Cell]:
         found = self.groups.get((service, None))  # of all regions: also of a zone that the plan doesn't know
         return found or self.groups.get((service, self.regions.get(zone)), ())
--- a/stackwheel/cells/plan.py
+++ b/stackwheel/cells/plan.py
@@ -15,6 +15,7 @@
 from msgspec import Meta, Struct
 
 Key = TypeVar("Key", str, int)
+Decoded = TypeVar("Decoded")
 
 VERSION = 1
 REPLICAS = 2  # relays that serve each cell: one may fail
@@ -70,34 +71,51 @@
     cells: tuple[Cell, ...]
 
 
-DECODER = msgspec.json.Decoder(Plan)
+PLANS = msgspec.json.Decoder(Plan)
+REGIONS = msgspec.json.Decoder(dict[Name, Name])
 PLACE_IN_MESSAGE = re.compile(r"^(?P<reason>.*) - at `(?:key in )?\$\.?(?P<place>[^`]*)`$", re.DOTALL)
 
 
 def load_plan(path: Path | str) -> Plan:
     """The valid plan of a file; CellPlanError where it can't be read, is cut, or can't hold."""
+    return decode_plan(_read(path), str(path))
+
+
+def decode_plan(data: bytes, source: str = "plan") -> Plan:
+    """The valid plan of a file's bytes; errors begin with `source`."""
+    plan = _decode(PLANS, data, source)
+    validate(plan, source)
+    return plan
+
+
+def load_regions(path: Path | str) -> dict[str, str]:
+    """The region of each zone, from a file that holds one JSON object; CellPlanError where it holds none."""
+    regions = _decode(REGIONS, _read(path), str(path))
+    if not regions:
+        raise CellPlanError(str(path), "no zone is given")
+    return regions
+
+
+def _read(path: Path | str) -> bytes:
     try:
-        data = Path(path).read_bytes()
+        return Path(path).read_bytes()
     except OSError as error:
         raise CellPlanError(str(path), error.strerror or str(error)) from None
-    return decode_plan(data, str(path))
 
 
-def decode_plan(data: bytes, source: str = "plan") -> Plan:
-    """The valid plan of a file's bytes; errors begin with `source`."""
+def _decode(decoder: msgspec.json.Decoder[Decoded], data: bytes, source: str) -> Decoded:
     try:
-        plan = DECODER.decode(data)
+        found = decoder.decode(data)
         json.loads(data, object_pairs_hook=_refuse_repeated_keys)
     except msgspec.ValidationError as error:
-        found = PLACE_IN_MESSAGE.match(str(error))
-        place, reason = (found["place"], found["reason"]) if found else ("", str(error))
+        parts = PLACE_IN_MESSAGE.match(str(error))
+        place, reason = (parts["place"], parts["reason"]) if parts else ("", str(error))
         raise CellPlanError(f"{source}: {place}" if place else source, reason) from None
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise CellPlanError(source, f"no JSON: {error}") from None
     except _RepeatedKeyError as error:
         raise CellPlanError(source, str(error)) from None
-    validate(plan, source)
-    return plan
+    return found
 
 
 def encode_plan(plan: Plan) -> bytes:
--- a/stackwheel/cli/root.py
+++ b/stackwheel/cli/root.py
@@ -10,6 +10,11 @@
 GROUPS = {  # name: module and attribute, extra it needs, help
     "serve": ("stackwheel.cli.serve:serve", "cli", "Run the planner that ROUTER_CONFIG describes."),
     "config": ("stackwheel.cli.config:config", "config", "Check and show the operators' own file."),
+    "cells": (
+        "stackwheel.cli.cells:cells",
+        "relay",
+        "Divide a fleet into cells that share tables, and check the plan.",
+    ),
     "files": ("stackwheel.cli.files:files", "files", "Look at table files and compare them."),
     "trial": ("stackwheel.cli.trial:trial", "trials", "Run the service on a virtual clock against scripted faults."),
 }
