Cells: tests of plans, design, checks and the command line, and the faults they found

Found by them: parts kept by the hysteresis could be without a server or planners enough; equal demand in another order got other ports; fields of a plan that was not read broke its constraints until a reader met them, so a plan is now read back before it is written.

--- a/stackwheel/cells/design.py
+++ b/stackwheel/cells/design.py
@@ -15,7 +15,17 @@
 
 from stackwheel.cells.assignment import part_of, service_of
 from stackwheel.cells.check import ListedServer
-from stackwheel.cells.plan import PARTS_MOST, PORT_MOST, VERSION, Cell, CellPlanError, Limits, Plan, Relay, validate
+from stackwheel.cells.plan import (
+    PARTS_MOST,
+    PORT_MOST,
+    VERSION,
+    Cell,
+    CellPlanError,
+    Limits,
+    Plan,
+    Relay,
+    encode_valid_plan,
+)
 
 OVERFLOW_RISK = 0.001  # a service and region; at 300 that are cut, every third plan has a part to grow on the next one
 PLANNERS_LEAST = 2  # of a cell that is cut from a service: one may fail
@@ -28,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Demand:
-    """What a service has in a region. With its servers' names, parts are checked and grow until none is over a limit."""
+    """What a service has in a region. With its servers' names, parts grow until none is over a limit."""
 
     service: str
     region: str
@@ -68,23 +78,29 @@
             groups[service, scope] = parts
     cells = _name_cells(groups, former, first_port)
     plan = Plan(VERSION, limits, dict(sorted(regions.items())), tuple(relays), cells)
-    validate(plan, "design")
+    encode_valid_plan(plan)
     return plan
 
 
-def demand_of(servers: Iterable[ListedServer], regions: Mapping[str, str], planners: int) -> tuple[Demand, ...]:
+def demand_of(
+    servers: Iterable[ListedServer], regions: Mapping[str, str], planners: int, source: str = "servers"
+) -> tuple[Demand, ...]:
     """The demand of listed servers, with a number of planners shared out in proportion to them.
 
     Each service gets one planner at least. CellPlanError where a zone is unknown, a server is listed twice, or there
-    are fewer planners than services.
+    are fewer planners than services; what is wrong with the list begins with `source`.
     """
     names: defaultdict[str, defaultdict[str, list[str]]] = defaultdict(lambda: defaultdict(list))
     seen: dict[str, int] = {}
     for number, server in enumerate(servers):
         if server.zone not in regions:
-            raise CellPlanError(f"instances[{number}].zone", f"unknown zone {server.zone!r} of {server.name!r}")
+            raise CellPlanError(
+                f"{source}: instances[{number}].zone", f"unknown zone {server.zone!r} of {server.name!r}"
+            )
         if server.name in seen:
-            raise CellPlanError(f"instances[{number}]", f"{server.name!r} is also instances[{seen[server.name]}]")
+            raise CellPlanError(
+                f"{source}: instances[{number}]", f"{server.name!r} is also instances[{seen[server.name]}]"
+            )
         seen[server.name] = number
         names[service_of(server.name)][regions[server.zone]].append(server.name)
     if planners < len(names):
@@ -168,7 +184,7 @@
     if everywhere.planners == 0:
         raise CellPlanError(f"service {service!r}", f"no planner for {everywhere.servers} servers")
     regional: dict[Scope, int] = {
-        (region,): _parts(need, limits, former.get((region,), 0)) for region, need in by_region.items()
+        (region,): _parts(need, limits, former.get((region,), 0)) for region, need in sorted(by_region.items())
     }
     if _is_regional(everywhere, by_region, regional, limits, former):
         return regional
@@ -201,10 +217,14 @@
 
 
 def _parts(need: _Need, limits: Limits, former: int) -> int:
-    """The parts of a group: the former number, unless that is too small, or SHRINK_FACTOR times larger than needed."""
+    """The parts of a group: the former number, unless that is too small, or SHRINK_FACTOR times larger than needed,
+    or leaves a part without planners enough or without a server."""
     least = _least_parts(need, limits)
-    parts = max(least, min(former, _least_parts(need.times(SHRINK_FACTOR), limits)))
-    while parts <= PARTS_MOST and not _fits(need.server_names, parts, limits.servers):
+    kept = min(former, _least_parts(need.times(SHRINK_FACTOR), limits), need.planners // PLANNERS_LEAST)
+    while kept > least and need.server_names and min(_held(need.server_names, kept)) == 0:
+        kept -= 1
+    parts = max(least, kept)
+    while parts <= PARTS_MOST and max(_held(need.server_names, parts)) > limits.servers:
         parts += 1
     return parts
 
@@ -213,8 +233,10 @@
     return max(parts_needed(need.servers, limits.servers), -(-need.planners // limits.planners), 1)
 
 
-def _fits(server_names: Sequence[str], parts: int, most: int) -> bool:
-    return len(server_names) <= most or max(Counter(part_of(name, parts) for name in server_names).values()) <= most
+def _held(server_names: Sequence[str], parts: int) -> list[int]:
+    """How many of the servers each part holds."""
+    count = Counter(part_of(name, parts) for name in server_names)
+    return [count[part] for part in range(parts)]
 
 
 def _name_cells(groups: Mapping[tuple[str, Scope], int], former: Plan | None, first_port: int) -> tuple[Cell, ...]:
--- a/stackwheel/cells/plan.py
+++ b/stackwheel/cells/plan.py
@@ -23,7 +23,7 @@
 LIMIT_MOST = 65_536  # of servers or planners a cell; over this a limit limits nothing in a fleet of 48,000 servers
 PORT_MOST = 65_535  # of TCP
 
-Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[^\x00-\x20\x7f,/]+\Z")]
+Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[^\x00-\x20\x7f,]+\Z")]
 Host = Annotated[str, Meta(min_length=1, max_length=253, pattern=r"^[^\x00-\x20\x7f,/:]+\Z")]  # it becomes "host:port"
 Limit = Annotated[int, Meta(ge=1, le=LIMIT_MOST)]
 
@@ -73,7 +73,7 @@
 
 PLANS = msgspec.json.Decoder(Plan)
 REGIONS = msgspec.json.Decoder(dict[Name, Name])
-PLACE_IN_MESSAGE = re.compile(r"^(?P<reason>.*) - at `(?:key in )?\$\.?(?P<place>[^`]*)`$", re.DOTALL)
+PLACE_IN_MESSAGE = re.compile(r"^(?P<reason>.*) - at (?:`key` in )?`\$\.?(?P<place>[^`]*)`$", re.DOTALL)
 
 
 def load_plan(path: Path | str) -> Plan:
@@ -123,18 +123,31 @@
     return msgspec.json.format(msgspec.json.encode(plan), indent=1) + b"\n"
 
 
+def encode_valid_plan(plan: Plan, source: str = "plan") -> bytes:
+    """The bytes of a plan's file; CellPlanError where a reader would refuse them.
+
+    A plan that was not read may break the constraints of its fields, which are checked where one is read.
+    """
+    try:
+        data = encode_plan(plan)
+    except UnicodeEncodeError as error:
+        raise CellPlanError(source, f"a name is no text: {error.object!r}") from None
+    decode_plan(data, source)
+    return data
+
+
 def save_plan(plan: Plan, path: Path | str) -> None:
     """Put a valid plan in place of a file, whole; CellPlanError where it can't hold or can't be written.
 
     A failed call leaves the former file, and nothing beside it.
     """
-    validate(plan, str(path))
+    data = encode_valid_plan(plan, str(path))
     target = Path(path)
     part = ""
     try:
         handle, part = tempfile.mkstemp(prefix=f".{target.name}.", dir=target.parent)
         with os.fdopen(handle, "wb") as file:
-            file.write(encode_plan(plan))
+            file.write(data)
             file.flush()
             os.fsync(file.fileno())
         os.chmod(part, 0o644)
--- a/stackwheel/cli/cells.py
+++ b/stackwheel/cli/cells.py
@@ -81,7 +81,7 @@
         old = load_plan(former) if former is not None else None
         kept = old.limits if old is not None else Limits()
         limits = Limits(most_servers or kept.servers, most_planners or kept.planners)
-        demand = demand_of(servers, regions, planners)
+        demand = demand_of(servers, regions, planners, str(servers_file))
         made = design(demand, limits, regions, relays, old, first_port)
         save_plan(made, out)
     except CellPlanError as error:
--- a/stackwheel/cli/root.py
+++ b/stackwheel/cli/root.py
@@ -13,7 +13,7 @@
     "cells": (
         "stackwheel.cli.cells:cells",
         "relay",
-        "Divide a fleet into cells that share tables, and check the plan.",
+        "Divide a fleet into cells, check and show the plan.",
     ),
     "files": ("stackwheel.cli.files:files", "files", "Look at table files and compare them."),
     "trial": ("stackwheel.cli.trial:trial", "trials", "Run the service on a virtual clock against scripted faults."),
--- /dev/null
+++ b/tests/cells/fleet.py
@@ -0,0 +1,45 @@
+"""A fleet of any size, drawn by a seed, with services of skewed sizes."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from random import Random
+
+from stackwheel.cells.check import ListedServer
+from stackwheel.cells.plan import Relay
+
+SERVERS, SERVICES, ZONES, REGIONS, RELAYS, PLANNERS = 48_000, 2_100, 85, 36, 17, 15_000
+SKEW = 0.9  # the size of the n-th service goes with n to the power of minus this
+
+
+def regions(zones: int = ZONES, count: int = REGIONS) -> dict[str, str]:
+    return {f"zone-{zone:02}": f"region-{zone % count:02}" for zone in range(zones)}
+
+
+def relays(count: int = RELAYS) -> tuple[Relay, ...]:
+    return tuple(Relay(f"relay-{number}", f"127.0.1.{number + 1}") for number in range(count))
+
+
+def servers(
+    seed: int, count: int = SERVERS, services: int = SERVICES, zones: Iterable[str] | None = None
+) -> list[ListedServer]:
+    """Every service has one server at least; the others are drawn by a power law, each in a zone by chance."""
+    random = Random(seed)
+    places = list(zones if zones is not None else regions())
+    weights = [(number + 1) ** -SKEW for number in range(services)]
+    owners = [*range(services), *random.choices(range(services), weights, k=count - services)]
+    names = random.sample(range(1 << 32), count)
+    return [
+        ListedServer(f"svc-{owner:04}-{name:08x}", random.choice(places))
+        for owner, name in zip(owners, names, strict=True)
+    ]
+
+
+def listing(found: Iterable[ListedServer]) -> bytes:
+    """The servers as discovery would answer them."""
+    instances = [
+        {"instanceId": server.name, "hostPort": "10.1.0.1:80", "zone": server.zone, "lifecycle": "in_service"}
+        for server in found
+    ]
+    return json.dumps({"generation": 1, "reset": True, "instances": instances}).encode()
