--- a/stackwheel/cells/design.py
+++ b/stackwheel/cells/design.py
@@ -87,8 +87,8 @@
 ) -> tuple[Demand, ...]:
     """The demand of listed servers, with a number of planners shared out in proportion to them.
 
-    Each service gets one planner at least. CellPlanError where a zone is unknown, a server is listed twice, or there
-    are fewer planners than services; what is wrong with the list begins with `source`.
+    Each service gets one planner at least. CellPlanError where no server is listed, one is listed twice or in an unknown
+    zone, or there are fewer planners than services; what is wrong with the list begins with `source`.
     """
     names: defaultdict[str, defaultdict[str, list[str]]] = defaultdict(lambda: defaultdict(list))
     seen: dict[str, int] = {}
@@ -103,6 +103,8 @@
             )
         seen[server.name] = number
         names[service_of(server.name)][regions[server.zone]].append(server.name)
+    if not names:
+        raise CellPlanError(source, "no server is listed")
     if planners < len(names):
         raise CellPlanError("planners", f"{planners} for {len(names)} services, each needs one at least")
     sizes = {service: sum(map(len, by_region.values())) for service, by_region in names.items()}
--- a/tests/cli/test_cells_command.py
+++ b/tests/cli/test_cells_command.py
@@ -111,6 +111,7 @@
         (b"[]", "no list of servers: no list of instances"),
         (b"\xff", "no list of servers: "),
         (b'{"instances":[]}', "no list of servers: no 'generation'"),
+        (fleet.listing([]), "no server is listed"),
         (json.dumps({"generation": 4, "reset": False, "instances": []}).encode(), "reset: false"),
         (json.dumps({"generation": 4, "reset": True, "instances": [entry(), {}]}).encode(), "entry 1 ("),
         (json.dumps({"generation": 4, "reset": True, "instances": [entry(weight=float("nan"))]}).encode(), "entry 0 ("),
