--- a/stackwheel/cells/design.py
+++ b/stackwheel/cells/design.py
@@ -87,8 +87,8 @@
 ) -> tuple[Demand, ...]:
     """The demand of listed servers, with a number of planners shared out in proportion to them.
 
-    Each service gets one planner at least. CellPlanError where no server is listed, one is listed twice or in an unknown
-    zone, or there are fewer planners than services; what is wrong with the list begins with `source`.
+    Each service gets one planner at least. CellPlanError where no server is listed, one is listed twice or in an
+    unknown zone, or there are fewer planners than services; what is wrong with the list begins with `source`.
     """
     names: defaultdict[str, defaultdict[str, list[str]]] = defaultdict(lambda: defaultdict(list))
     seen: dict[str, int] = {}
