--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -23,7 +23,7 @@
 from stackwheel.state.orders import Message
 from stackwheel.state.roster import Roster
 from stackwheel.state.streams import Line
-from stackwheel.wire.links import Links, stand_open
+from stackwheel.wire.links import Links, open_listener
 from stackwheel.wire.timing import JITTER, stream_silence
 
 OPERATORS = "STACKWHEEL_OPERATORS"  # names the operators' own file
@@ -54,7 +54,7 @@
 
     wall: Callable[[], float] = time.time  # s
     steady: Callable[[], float] = time.monotonic  # s
-    listen_at: Callable[[str], socket.socket] = stand_open
+    listen_at: Callable[[str], socket.socket] = open_listener
     load: Callable[[], Config | ConfigError] = load_config
     extras: Callable[[PlannerContext], list[Extra]] = no_extras
     settle: Callable[[], None] = lambda: None  # once all that stays has been made
@@ -137,9 +137,9 @@
             len(self.roster.entries),
             self.roster.generation,
         )
-        self.links.keep(self.reload.run())
+        self.links.start_task(self.reload.run())
         for extra in self.extras:
-            self.links.keep(extra.run())
+            self.links.start_task(extra.run())
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload.ask)
         self.around.signals_on()  # one that came during the start counts now
         await self.module.run()
--- a/stackwheel/trials/defects.py
+++ b/stackwheel/trials/defects.py
@@ -32,7 +32,7 @@
 from stackwheel.wire.discovery import Discovery
 from stackwheel.wire.lines import Encoder
 from stackwheel.wire.links import Links
-from stackwheel.wire.peer import Peer, RateLimiter, Waiting
+from stackwheel.wire.peer import BufferBudget, Peer, RateLimiter
 from stackwheel.wire.values import Spoilt
 
 Patch = tuple[Any, str, Any]
@@ -220,11 +220,11 @@
 
 
 def never_forgotten() -> Sequence[Patch]:
-    def account(self: Waiting, peer: Peer, count: int) -> None:
+    def account(self: BufferBudget, peer: Peer, count: int) -> None:
         self.total += count
         self.held[peer] = count
 
-    return [(Waiting, "account", account)]
+    return [(BufferBudget, "account", account)]
 
 
 def attended_for_ever() -> Sequence[Patch]:
--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -1,4 +1,4 @@
-"""All that the service speaks with: the listener, discovery, probes and the other planners."""
+"""The network side of a planner: the listener with its connections, discovery, probes and peer datagrams."""
 
 from __future__ import annotations
 
@@ -23,12 +23,14 @@
 from stackwheel.wire.discovery import Discovery, Move
 from stackwheel.wire.http import socket_closed, split_address
 from stackwheel.wire.lines import Encoder
-from stackwheel.wire.peer import Peer, RateLimiter, Waiting
+from stackwheel.wire.peer import BufferBudget, Peer, RateLimiter
 from stackwheel.wire.probes import probe, probe_call
 
 
 @dataclass(frozen=True, slots=True)
 class Addresses:
+    """Where the planner listens and whom it calls (`host:port`), with the limits on descriptors and memory (MB)."""
+
     listen: str
     discovery: str
     peer_listen: str
@@ -38,8 +40,8 @@
     memory_mb: float
 
 
-def stand_open(address: str) -> socket.socket:
-    """A listener that never blocks; OSError if the address can't be had."""
+def open_listener(address: str) -> socket.socket:
+    """A non-blocking listening socket; OSError if the address can't be bound."""
     listener = socket.create_server(split_address(address), backlog=timing.LISTEN_BACKLOG)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, timing.RECEIVE_BUFFER)
     listener.setblocking(False)
@@ -47,7 +49,7 @@
 
 
 class Links:
-    """The module's outside, on this protocol."""
+    """The module's `Outside` on sockets. Owns all connections and keeps them within the limit on descriptors."""
 
     def __init__(
         self,
@@ -56,7 +58,7 @@
         names: Names,
         roster: Roster,
         clock: Clock,
-        listen_at: Callable[[str], socket.socket] = stand_open,
+        listen_at: Callable[[str], socket.socket] = open_listener,
         seed: int = 0,
     ) -> None:
         self.addresses, self.settings, self.names = addresses, settings, names
@@ -79,12 +81,12 @@
         self.released = asyncio.Event()  # set whenever one of these has given its descriptor back
         self.collectors: dict[int, list[Peer]] = {}  # of each zone; the older ones are heard too
         self.limiters: dict[int, RateLimiter] = {}  # of proxies, whatever connection they have
-        self.waiting = Waiting(timing.waiting_most(addresses.memory_mb))
+        self.waiting = BufferBudget(timing.waiting_most(addresses.memory_mb))
         self.post: Callable[[Item], None] = lambda item: None
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def open(self, post: Callable[[Item], None]) -> None:
-        """Speak with the others; proxies come last, when all else stands."""
+        """Start everything, the listener last; `post` gets what arrives. OSError if an address can't be bound."""
         self.post = post
         loop = asyncio.get_running_loop()
         if self.settings.peers_allowed and self.addresses.peer_listen:
@@ -92,26 +94,26 @@
                 lambda: self.datagrams, local_addr=split_address(self.addresses.peer_listen)
             )
         listener = self.listen_at(self.addresses.listen)
-        self.keep_up("list", self.discovery.run)
-        self.keep_up("listener", lambda: self.listen(listener))
-        self.keep_up("sweep", self.sweep)
+        self.supervise("list", self.discovery.run)
+        self.supervise("listener", lambda: self.listen(listener))
+        self.supervise("sweep", self.sweep)
 
     def readdress(self, addresses: Addresses) -> None:
-        """Go on with other addresses and limits."""
+        """Apply a reloaded configuration; connections that are open stay."""
         self.addresses = addresses
         self.waiting.most = timing.waiting_most(addresses.memory_mb)
         self.datagrams.readdress(addresses.peers, addresses.peers_all)
         self.discovery.mailbox.put_nowait(Move(addresses.discovery))
 
-    def keep(self, work: Coroutine[object, object, None]) -> None:
+    def start_task(self, work: Coroutine[object, object, None]) -> None:
         task = asyncio.create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self.ended)
+        task.add_done_callback(self.on_task_done)
 
-    def keep_up(self, name: str, work: Callable[[], Coroutine[object, object, None]]) -> None:
-        """What the process is nothing without: a fault is logged, and it begins again."""
+    def supervise(self, name: str, work: Callable[[], Coroutine[object, object, None]]) -> None:
+        """Run a task that the process can't do without: after an unexpected error it is logged and restarted."""
 
-        async def again() -> None:
+        async def restart_on_error() -> None:
             while True:
                 try:
                     return await work()
@@ -119,61 +121,64 @@
                     logger.opt(exception=True).error("{}: fault {!r}; it begins again", name, error)
                     await asyncio.sleep(timing.FAULT_AGAIN / 1000.0)
 
-        self.keep(again())
+        self.start_task(restart_on_error())
 
-    def ended(self, task: asyncio.Task[None]) -> None:
+    def on_task_done(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             logger.opt(exception=error).error("fault {!r}", error)
 
     async def listen(self, listener: socket.socket) -> None:
-        """Take in all that wait, so that proxies that come together join in one batch.
+        """Accept all pending connections in one go, so that proxies that come together join in one batch.
 
-        The loop's own server, short of descriptors, tries and logs in a storm.
+        Not asyncio's own server: short of descriptors it retries and logs without a pause.
         """
         loop = asyncio.get_running_loop()
         while True:
             while self.arriving >= timing.ACCEPT_BURST:
                 await asyncio.sleep(0)
-            await self.room()
+            await self.wait_for_room()
             try:
                 connection, _ = await loop.sock_accept(listener)
             except OSError as error:
                 logger.warning("connection not accepted: {}", error)
-                self.make_room()
+                self.evict_one()
                 await asyncio.sleep(timing.ACCEPT_AGAIN / 1000.0)
                 continue
             self.arriving += 1
-            self.keep(self.attend(connection))
+            self.start_task(self.serve_connection(connection))
 
-    async def room(self) -> None:
-        """Wait until another connection may be held. One told to go makes no room before its socket is closed."""
+    async def wait_for_room(self) -> None:
+        """Wait until another connection may be held: an evicted one counts until its socket is closed."""
         while self.full():
             self.released.clear()
-            if self.make_room():
+            if self.evict_one():
                 await self.released.wait()
             else:
                 await asyncio.sleep(timing.YOUNG / 5000.0)
 
     def full(self) -> bool:
-        """Whether connections and probes hold all descriptors they may: those being closed still hold theirs."""
+        """Whether connections and probes, with those being closed, hold all descriptors that they may."""
         return self.arriving + len(self.peers) + self.probing >= max(1, self.addresses.sockets - timing.KEPT_SOCKETS)
 
-    def make_room(self) -> bool:
-        """Close the first unidentified connection, unless its first bytes may be unread; else who went quiet."""
+    def evict_one(self) -> bool:
+        """Close the oldest unidentified connection, or else the longest quiet peer; whether one is being closed.
+
+        Not an unidentified one whose first bytes may be unread.
+        """
         now = asyncio.get_running_loop().time()
         if (first := next(iter(self.unidentified), None)) is not None:
-            if first.since > now - timing.YOUNG / 1000.0:
+            if first.unidentified_since > now - timing.YOUNG / 1000.0:
                 return False
-            self.drop(first, "as no descriptor is left")
+            self.close_unidentified(first, "as no descriptor is left")
             return True
-        quiet = min(self.peers, key=lambda peer: peer.heard_at, default=None)
-        if quiet is None or quiet.ended or quiet.heard_at > now - timing.QUIET / 1000.0:
+        quiet = min(self.peers, key=lambda peer: peer.last_received_at, default=None)
+        if quiet is None or quiet.ended or quiet.last_received_at > now - timing.QUIET / 1000.0:
             return False
         quiet.end("as no descriptor is left and it says nothing")
         return True
 
-    async def attend(self, connection: socket.socket) -> None:
+    async def serve_connection(self, connection: socket.socket) -> None:
         try:
             reader, writer = await asyncio.open_connection(sock=connection, limit=timing.READ_BYTES)
         except OSError as error:
@@ -189,13 +194,13 @@
             self.names,
             self.settings.proxies,
             self.post,
-            self.known,
+            self.on_identified,
             self.limiter,
             self.waiting,
             lambda server: self.roster.ids.name(server) is not None,
         )
         self.peers[peer] = None
-        self.known(peer, False)
+        self.on_identified(peer, False)
         try:
             await peer.run()
         except Exception as error:
@@ -209,28 +214,28 @@
         self.released.set()
 
     def limiter(self, proxy: int) -> RateLimiter:
-        """The limit of messages is of a proxy: a new stream begins no new count."""
+        """A proxy's limiter: it outlives the proxy's streams, so that a new one starts no new count."""
         if proxy not in self.limiters:
             self.limiters[proxy] = RateLimiter(self.settings.message_cap, self.settings.message_window + timing.JITTER)
         return self.limiters[proxy]
 
-    def known(self, peer: Peer, known: bool) -> None:
-        """Keep who has not said what it is apart; of a zone's collectors the longest silent goes."""
+    def on_identified(self, peer: Peer, identified: bool) -> None:
+        """Track unidentified peers, and each zone's collectors: over COLLECTORS_MOST the longest quiet is closed."""
         self.unidentified.pop(peer, None)
-        if not known:
+        if not identified:
             self.unidentified[peer] = None
         elif peer.zone is not None:
             others = [other for other in self.collectors.get(peer.zone, []) if other is not peer]
             self.collectors[peer.zone] = [*others, peer]
             if len(others) >= timing.COLLECTORS_MOST:
-                min(others, key=lambda other: other.heard_at).end("as its zone has newer collectors")
+                min(others, key=lambda other: other.last_received_at).end("as its zone has newer collectors")
 
-    def drop(self, peer: Peer, why: str) -> None:
+    def close_unidentified(self, peer: Peer, why: str) -> None:
         self.unidentified.pop(peer, None)
         peer.end(why)
 
     async def sweep(self) -> None:
-        """Unidentified connections have one deadline from their coming, whatever they say; what lies ready counts."""
+        """Close connections that are unidentified IDENTIFY ms after they were accepted, whatever they sent."""
         loop = asyncio.get_running_loop()
         while True:
             due = loop.time() + timing.SWEEP / 1000.0
@@ -238,8 +243,8 @@
             if loop.time() > due + timing.GRACE / 1000.0:  # this process stood still
                 await asyncio.sleep(timing.GRACE / 1000.0)
             until = loop.time() - timing.IDENTIFY / 1000.0
-            for peer in [peer for peer in self.unidentified if peer.since < until]:
-                self.drop(peer, f"as it has not said what it is for {timing.IDENTIFY / 1000.0:g} s")
+            for peer in [peer for peer in self.unidentified if peer.unidentified_since < until]:
+                self.close_unidentified(peer, f"as it has not said what it is for {timing.IDENTIFY / 1000.0:g} s")
 
     def deliver(self, messages: Sequence[tuple[Line, Message]]) -> None:
         encoded = self.encoder.encode([message for _, message in messages])
@@ -267,7 +272,7 @@
             return
         if asked.address:
             self.probing += 1  # from now on: many may be asked for in one turn
-            self.keep(ask())
+            self.start_task(ask())
         else:  # no list has told where it is
             self.post(Probed(asked, face.ProbeResult(server, face.Probed.UNREACHABLE, 0.0)))
 
--- a/stackwheel/wire/peer.py
+++ b/stackwheel/wire/peer.py
@@ -1,4 +1,4 @@
-"""A connection's actor: reads lines, writes what its mailbox holds, and stops at its own faults."""
+"""The actor of one accepted connection: reads messages, writes its mailbox, and closes on its own errors."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 class RateLimiter:
-    """Never more messages than the cap within the span, as written: the one over it waits its turn."""
+    """A sliding-window limit on written messages: at most `cap` within any `span` ms, none if `cap` is 0."""
 
     def __init__(self, cap: int, span: float) -> None:
         self.span = span / 1000.0
@@ -43,18 +43,20 @@
         return max(0.0, self.written[0] + self.span - now)
 
     def wrote(self, now: float) -> None:
+        """Count a message written at `now`, in s."""
         if self.written is not None:
             self.written.append(now)
 
 
-class Waiting:
-    """Bytes that wait in the half lines and mailboxes of all peers: bounded together, the largest goes."""
+class BufferBudget:
+    """A common bound, in bytes, on the partial lines and mailboxes of all peers; over it the largest is closed."""
 
     def __init__(self, most: int) -> None:
         self.most, self.total = most, 0
         self.held: dict[Peer, int] = {}
 
     def account(self, peer: Peer, count: int) -> None:
+        """Set the bytes that a peer holds; closes peers until the total is within the bound."""
         self.total += count - self.held.pop(peer, 0)
         if count:
             self.held[peer] = count
@@ -65,7 +67,7 @@
 
 
 class Peer:
-    """A proxy's stream, a collector, or somebody who has not said yet."""
+    """One connection: a proxy's stream, a collector, or a peer that has not identified itself yet."""
 
     def __init__(
         self,
@@ -74,21 +76,22 @@
         names: Names,
         proxies: int,
         post: Callable[[Item], None],
-        known: Callable[[Peer, bool], None],
+        on_identified: Callable[[Peer, bool], None],
         limiter: Callable[[int], RateLimiter],
-        waiting: Waiting,
-        listed: Callable[[face.Server], bool],
+        waiting: BufferBudget,
+        is_listed: Callable[[face.Server], bool],
     ) -> None:
         self.reader, self.writer, self.names, self.proxies = reader, writer, names, proxies
         self.post, self.limiter, self.waiting = post, limiter, waiting
-        self.listed = listed  # whether a server is known
-        self.known = known  # told when the peer says what it is, and when it is nobody again
+        self.is_listed = is_listed  # whether a server is in the list
+        self.on_identified = on_identified  # called with False once it speaks for no proxy any more
         self.proxy: int | None = None
         self.zone: int | None = None  # of a collector
-        self.since = self.heard_at = asyncio.get_running_loop().time()  # it has not said what it is; it last spoke
+        self.unidentified_since = asyncio.get_running_loop().time()  # s of the loop's clock, as all times here
+        self.last_received_at = self.unidentified_since
         self.splitter = Splitter()
-        self.heard = 0  # messages
-        self.left_out = 0  # of them, as they could not be used
+        self.messages_received = 0
+        self.messages_rejected = 0  # of them, as they could not be used
         self.unsent = 0  # bytes in the mailbox
         self.ended = False  # by us
         self.retired = False  # another connection speaks for its proxy
@@ -101,6 +104,7 @@
         return f"{who if self.zone is None else 'collector'} at {self.address}"
 
     async def run(self) -> None:
+        """Serve the connection until either side ends it; an error of its own is logged and ends only this peer."""
         writing = asyncio.create_task(self.write())
         try:
             await self.read()
@@ -118,34 +122,40 @@
 
     async def read(self) -> None:
         while data := await self.reader.read(timing.READ_BYTES):
-            self.heard_at = asyncio.get_running_loop().time()
+            self.last_received_at = asyncio.get_running_loop().time()
             for line in self.splitter.feed(data):
-                self.heard += 1
-                if (refused := self.hear(decode(line, self.names))) is not None:
-                    self.end(f"at message {self.heard}: {refused.reason}")
+                self.messages_received += 1
+                if (refused := self.handle(decode(line, self.names))) is not None:
+                    self.end(f"at message {self.messages_received}: {refused.reason}")
                     return
             if self.splitter.overrun:
-                self.end(f"after message {self.heard}: a line over {self.splitter.limit} bytes")
+                self.end(f"after message {self.messages_received}: a line over {self.splitter.limit} bytes")
             elif self.splitter.held and (refused := begun(self.splitter.held)) is not None:
-                self.end(f"after message {self.heard}: {refused.reason}")
+                self.end(f"after message {self.messages_received}: {refused.reason}")
             self.account()
             if self.ended:
                 return
         if (held := len(self.splitter.held)) and not self.ended:
-            logger.warning("{}: ended inside a line, {} bytes after message {}", self, held, self.heard)
+            logger.warning("{}: ended inside a line, {} bytes after message {}", self, held, self.messages_received)
 
-    def hear(self, message: Message | Spoilt | Unreadable) -> Unreadable | None:
-        """Take one message; the reason if the connection can't go on."""
+    def handle(self, message: Message | Spoilt | Unreadable) -> Unreadable | None:
+        """Process one message; the reason if the connection has to be closed for it."""
         if isinstance(message, Unreadable):
             return message
-        said = message if isinstance(message, Spoilt) else self.take(message)
+        said = message if isinstance(message, Spoilt) else self.dispatch(message)
         if self.unidentified:
             if said is None and self.splitter.taken > FIRST_BYTES:
                 return Unreadable(f"over {FIRST_BYTES} bytes and no word of what it is")
             return None if said is None else Unreadable(said.reason)
         if said is not None:
-            self.left_out += 1
-            logger.warning("{}: message {} left out, its {}. so far: {}", self, self.heard, self.left_out, said.reason)
+            self.messages_rejected += 1
+            logger.warning(
+                "{}: message {} left out, its {}. so far: {}",
+                self,
+                self.messages_received,
+                self.messages_rejected,
+                said.reason,
+            )
             if self.proxy is not None:
                 self.post(Said(self.proxy, None, self))
         return None
@@ -159,7 +169,7 @@
             self.waiting.account(self, len(self.splitter.held) + self.unsent)
 
     def end(self, why: str) -> None:
-        """Close, at once and whatever it still leaves unread; who is not joined hears so."""
+        """Abort the connection and drop what is unsent; an unidentified peer is sent NACK first."""
         if self.ended:
             return
         logger.warning("{}: closed {}", self, why)
@@ -168,18 +178,18 @@
         self.ended = True
         self.writer.transport.abort()
 
-    def take(self, message: Message) -> Spoilt | None:
-        """Pass a message on; the reason if it has no place here."""
+    def dispatch(self, message: Message) -> Spoilt | None:
+        """Post a message to the module; the reason if this peer may not send it."""
         match message:
             case Ping():
                 self.send(PONG)
             case Source() if self.proxy is None and self.zone in (None, message.zone):
                 if self.zone is None:
                     self.zone = message.zone
-                    self.introduced()
+                    self.mark_identified()
             case Load(zone, target, count, failed, mean, over, load) if self.zone is not None:
                 server = digest(target)
-                if not self.listed(server):
+                if not self.is_listed(server):
                     return Spoilt(f"LOAD: unknown target={target[:40]!r}")
                 values = columns_in_order(load, self.names.columns)
                 self.post(face.ServerReport(zone, server, count, failed, mean, over, values))
@@ -195,34 +205,34 @@
                 if proxy >= self.proxies:
                     return Spoilt(f"proxy {proxy} of {self.proxies}")
                 self.proxy = proxy
-                self.introduced()
+                self.mark_identified()
                 self.post(Stream(proxy, zone, rate, fresh, self))
             case _:
                 return Spoilt(f"{type(message).__name__} is out of place here")
         return None
 
-    def introduced(self) -> None:
+    def mark_identified(self) -> None:
         self.splitter.limit = MOST_BYTES
-        self.known(self, True)
+        self.on_identified(self, True)
 
     def superseded(self) -> None:
-        """Another connection speaks for its proxy now: this one is nobody's, and may end. What waits for it is
-        dropped, as the proxy gets all anew there, and its messages are counted."""
-        if self.ended:  # it is gone already, only the module has not heard so
+        """Another connection carries its proxy now: this one is unidentified again. Its queued orders are dropped, as
+        the proxy gets a full state on the new connection and each message counts against its limit."""
+        if self.ended:  # the module has not processed the end yet
             return
         self.retired = True
         self.splitter.limit = FIRST_BYTES
-        self.since = asyncio.get_running_loop().time()
-        self.known(self, False)
+        self.unidentified_since = asyncio.get_running_loop().time()
+        self.on_identified(self, False)
 
     def carries(self) -> None:
-        """It speaks for its proxy, as the module sees it."""
+        """The module takes this connection for the one that carries its proxy."""
         if not self.ended and self.retired:
             self.retired = False
-            self.introduced()
+            self.mark_identified()
 
     def send(self, data: bytes) -> None:
-        """Never waits; who leaves too much unread is cut off, so that what waits is bounded."""
+        """Queue data without waiting; a peer with more than UNSENT_MOST bytes queued is closed."""
         self.unsent += len(data)
         if self.unsent > timing.UNSENT_MOST:
             self.end(f"as it leaves {self.unsent} bytes unread")
@@ -231,7 +241,7 @@
         self.account()
 
     async def write(self) -> None:
-        """An order goes out only while this connection carries its proxy: waiting for its turn it may lose it."""
+        """Write the mailbox. An order is dropped if the connection loses its proxy while the limit delays it."""
         now = asyncio.get_running_loop().time
         try:
             while True:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -189,16 +189,16 @@
         flooding.setblocking(False)
         total = 400_000
         flood = asyncio.create_task(asyncio.get_running_loop().sock_sendall(flooding, line * total))
-        await until(lambda: peer.heard > 1000)
+        await until(lambda: peer.messages_received > 1000)
         asking = setup.connect(b"PING\r\n")
         other = setup.connect(
             b"SUBSCRIBE id=2 site=east rps=1 new=1\r\nRATE id=2 lane=read count=7 fail=0 over=1000.0\r\n"
         )
-        began = peer.heard
+        began = peer.messages_received
         asking.setblocking(False)
         assert await asyncio.get_running_loop().sock_recv(asking, 10) == b"PONG\r\n"
         await until(lambda: any(isinstance(item, Stream) and item.proxy == 2 for item in setup.posted))
-        assert peer.heard - began < 60_000 and not flood.done()
+        assert peer.messages_received - began < 60_000 and not flood.done()
         flood.cancel()
         for connection in (flooding, asking, other):
             connection.close()
