--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -375,6 +375,30 @@
     assert all(name(7) not in lines for lines in desk.tables.values())
 
 
+def test_a_drain_held_back_by_the_message_cap_is_sent_within_the_grace_where_nothing_else_happens() -> None:
+    """The policy's own timers are all that comes: no report, no acknowledgement, no list."""
+    desk = fleet(12, message_cap=12, drain_grace=2000.0)
+    for second in range(7):  # the changes' part of the cap is used up
+        desk.listed(entry(second % 6, 0, started=desk.now))
+        desk.slot(slow={n: 100.0 * (1 + (n + second) % 4) for n in range(12)})
+    due: list[tuple[float, int]] = []
+
+    def send(event: face.Event, at: float) -> None:
+        found = [a for a in desk.send(event, wait=at - desk.now) if isinstance(a, face.SetTimer)]
+        due.extend((desk.now + timer.delay, timer.token) for timer in found)
+        due.sort()
+
+    slot = [a for a in desk.actions if isinstance(a, face.SetTimer)][-1]
+    due.append((desk.now + slot.delay, slot.token))
+    told = desk.now + 400.0
+    send(face.ServerList(face.ListScope.CHANGES, 3, (entry(7, 1, DRAINING),)), told)
+    assert any(name(7) in lines for lines in desk.tables.values())  # it waits for the cap
+    while any(name(7) in lines for lines in desk.tables.values()):
+        at, token = due.pop(0)
+        assert at < told + desk.settings.drain_grace
+        send(face.TimerFired(token), at)
+
+
 def test_joins_wait_when_the_channel_is_full_and_come_later() -> None:
     desk = Desk(servers=[entry(n) for n in range(10)], proxies=[(n, 0) for n in range(40)], backlog=500.0)
     assert 0 < len(desk.bound) < 40
