--- a/stackwheel/service/config.py
+++ b/stackwheel/service/config.py
@@ -13,7 +13,7 @@
 from stackwheel.interface import Settings
 from stackwheel.settings import Names, SettingsError, build_all, flatten
 from stackwheel.state.roster import Listing
-from stackwheel.wire.discovery import read_listing
+from stackwheel.wire.discovery import read_listing, replicas
 from stackwheel.wire.http import split_address
 from stackwheel.wire.links import Addresses
 
@@ -75,7 +75,7 @@
         raise ValueError("limits or peers is wrong")
     addresses = Addresses(
         address(found, "listen"),
-        address(found, "discovery"),
+        replicated(found, "discovery"),
         address(found, "peer_listen", ""),
         tuple(checked("peers", peer) for peer in peers),
         address(found, "peers_all", ""),
@@ -107,6 +107,13 @@
     return str(value) if value == default else checked(key, value)
 
 
+def replicated(found: dict[str, object], key: str) -> str:
+    """One address, or those of several replicas with commas between."""
+    for replica in replicas(str(found[key])):
+        checked(key, replica)
+    return str(found[key])
+
+
 def checked(key: str, value: object) -> str:
     try:
         host, port = split_address(str(value))
--- a/stackwheel/wire/discovery.py
+++ b/stackwheel/wire/discovery.py
@@ -83,6 +83,12 @@
     return body if isinstance(body, CallFailed) else parse_listing(body)
 
 
+def replicas(address: str) -> list[str]:
+    """The addresses of a service that is named "host:port,host:port": its replicas, which tell the same list in the
+    same generations."""
+    return address.split(",")
+
+
 @dataclass(frozen=True, slots=True)
 class Move:
     """Discovery is at another address from now on."""
@@ -96,6 +102,8 @@
     After a move the old address is watched until the new one has answered. That answer is taken for the
     whole list, as what the old one told, and in which numbers, says nothing of the new one. A watch that
     tells no change for long is renewed in the same way, as its updates may have stopped while it beats.
+
+    An address may name several replicas of one service. A call that fails there goes to the next of them.
     """
 
     def __init__(
@@ -107,13 +115,16 @@
         random: Random | None = None,
         ask_within: float = math.inf,
         renewal: float = math.inf,
+        heard: Callable[[], None] = lambda: None,
     ) -> None:
         self.address, self.generation, self.post = address, generation, post
         self.follow_always = follow_always  # where changes come unasked, so does the watch
         self.random = random or Random(0)
         self.backoff = Backoff(timing.DIAL, timing.AGAIN_MOST * ask_within, self.random)
         self.renewal = renewal  # ms without a change after which a watch is renewed
+        self.heard = heard  # told of each empty line of a watch whose list is in force
         self.source = address  # whose list is in force
+        self.turn = 0  # counts on to the replica that the next watch asks
         self.mailbox: asyncio.Queue[str | Move] = asyncio.Queue()
         self.watching: asyncio.Task[None] | None = None
         self.successor: asyncio.Task[None] | None = None  # a watch at a new address that has not answered yet
@@ -145,7 +156,7 @@
         if address == self.address:
             return
         logger.info("discovery moves from {} to {}", self.address, address)
-        self.address = address
+        self.address, self.turn = address, 0
         if self.successor is not None:
             self.successor.cancel()
             self.successor = None
@@ -168,7 +179,7 @@
         while found is None:
             address = self.asked()
             try:
-                found = await whole_list(address)
+                found = await self.fetch_newest(address)
             except Exception as error:
                 logger.exception("call of {} failed: {!r}", address, error)
                 found = CallFailed(Stage.BODY, repr(error))
@@ -181,10 +192,47 @@
             found = replace(found, whole=False)
         self.settle(found, address)
 
+    async def fetch_newest(self, address: str) -> Listing | CallFailed:
+        """The whole list of the first replica that is not behind what is known; else the newest of them all."""
+        names, newest = replicas(address), None
+        failed: CallFailed | None = None
+        for at in range(self.turn, self.turn + len(names)):
+            found = await whole_list(names[at % len(names)])
+            if isinstance(found, CallFailed):
+                failed = found
+                continue
+            if address == self.source and found.generation >= self.generation:
+                return found
+            if newest is None or found.generation > newest.generation:
+                newest = found
+        return newest or failed or CallFailed(Stage.DIAL, "no replica")
+
     async def watch(self, address: str) -> None:
-        """Follow until it fails. Every end is a failure: a watch lasts until its connection ends."""
+        """Follow until it fails. Every end is a failure: a watch lasts until its connection ends.
+
+        Where there are replicas, one that has held for a beat is followed by the others at once, and all are asked
+        once before it has failed.
+        """
+        names, loop = replicas(address), asyncio.get_running_loop()
+        left = len(names)
+        while True:
+            at, began = self.turn, loop.time()
+            told, failed = await self.follow(address, names[at % len(names)])
+            if asyncio.current_task() not in (self.watching, self.successor):
+                return  # it was let go
+            self.turn = at + 1
+            held = told and loop.time() >= began + timing.BEAT / 1000.0
+            left = len(names) - 1 if held else left - 1
+            if left <= 0:
+                break
+            logger.warning("replica of {} failed at {}: {}; the next one", address, failed.stage.name, failed.reason)
+        self.watch_ended(failed, address)
+
+    async def follow(self, address: str, replica: str) -> tuple[bool, CallFailed]:
+        """One watch at one replica until its end; whether it has told a list."""
+        told = False
         since = f"&since={self.generation}" if address == self.source else ""
-        call = Call(address, f"{PATH}?follow=1{since}")
+        call = Call(replica, f"{PATH}?follow=1{since}")
         try:
             failed = await call.open(timing.DIAL, timing.ANSWER)
             lists = self.lines(call) if address == self.source else self.whole(call, address)
@@ -196,18 +244,22 @@
                     failed = found
                 elif found is not None:
                     self.settle(found, address)
+                    told = True
                     wait = self.renewal
                     renew_at = loop.time() + wait / 1000.0 * (0.5 + self.random.random())
-                elif loop.time() >= renew_at:
-                    wait *= 2  # this one goes on where the next fails, and is renewed ever more seldom
-                    renew_at = loop.time() + wait / 1000.0 * (0.5 + self.random.random())
-                    self.mailbox.put_nowait("renew")
+                else:
+                    if told:
+                        self.heard()
+                    if loop.time() >= renew_at:
+                        wait *= 2  # this one goes on where the next fails, and is renewed ever more seldom
+                        renew_at = loop.time() + wait / 1000.0 * (0.5 + self.random.random())
+                        self.mailbox.put_nowait("renew")
         except Exception as error:
             logger.exception("watch on {} failed: {!r}", address, error)
             failed = CallFailed(Stage.BODY, repr(error))
         finally:
             call.close()
-        self.watch_ended(failed, address)
+        return told, failed
 
     def watch_ended(self, failed: CallFailed, address: str) -> None:
         """A watch that another takes the place of is no loss; else the module hears of it."""
@@ -235,7 +287,7 @@
             if isinstance(found, CallFailed) or self.source == address:
                 yield found
             elif found is not None and not found.whole and held is None:
-                fetched = await whole_list(address)
+                fetched = await whole_list(call.address)
                 if isinstance(fetched, CallFailed):
                     yield fetched
                     return
