--- a/deploy/operators.cue
+++ b/deploy/operators.cue
@@ -2,3 +2,7 @@
 // its forwarders read no files. `stackwheel config schema` says all that can be set, with bounds and defaults.
 
 files: on: false
+
+// A relay serves each cell of planners its part of the list (docs/relay.md): `stackwheel relay --operators FILE`, with
+//     relay: {on: true, name: "relay-0", upstream: "registry.internal:8500", plan: "cells.json"}
+relay: on: false
--- a/stackwheel/cli/root.py
+++ b/stackwheel/cli/root.py
@@ -11,6 +11,7 @@
     "serve": ("stackwheel.cli.serve:serve", "cli", "Run the planner that ROUTER_CONFIG describes."),
     "config": ("stackwheel.cli.config:config", "config", "Check and show the operators' own file."),
     "files": ("stackwheel.cli.files:files", "files", "Look at table files and compare them."),
+    "relay": ("stackwheel.cli.relay:relay", "relay", "Serve cells of planners their parts of the registry's list."),
     "trial": ("stackwheel.cli.trial:trial", "trials", "Run the service on a virtual clock against scripted faults."),
 }
 
--- a/stackwheel/operators/schema.py
+++ b/stackwheel/operators/schema.py
@@ -35,6 +35,13 @@
         after:   *"even" | "refuse"             // then
     }
 }
+
+relay: {                                        // a relay process, `stackwheel relay`; planners take no notice of it
+    on:       bool | *false
+    name:     string | *""                      // its name in the plan
+    upstream: string | *""                      // the registry, "host:port", or its replicas with commas between
+    plan:     string | *"cells.json"            // the cell plan's file; relative to this file
+}
 """
 
 
@@ -65,7 +72,15 @@
     silent: Silent
 
 
+class Relay(Struct, frozen=True, forbid_unknown_fields=True):
+    on: bool
+    name: str
+    upstream: str
+    plan: str
+
+
 class Operators(Struct, frozen=True, forbid_unknown_fields=True):
     """All that the operators' file says; times in ms."""
 
     files: Files
+    relay: Relay
