--- a/stackwheel/relay/cache.py
+++ b/stackwheel/relay/cache.py
@@ -31,6 +31,18 @@
     patience: float  # ms
 
 
+@dataclass(frozen=True, slots=True)
+class Gap:
+    """Generations between two, not with them, that the registry told this relay nothing of: a whole list came in
+    their place, which names no server that came and went in between."""
+
+    begin: int
+    end: int
+
+    def __contains__(self, generation: int) -> bool:
+        return self.begin < generation < self.end
+
+
 class ListingCache:
     """All servers that the registry lists, and the part of each cell that this relay serves.
 
@@ -47,6 +59,8 @@
         self.unreadable: tuple[str, ...] = ()  # servers not known that the list may hold; "": any
         self.doubted: Doubted | None = None
         self.former = -1  # the highest generation of a numbering that the registry has given up
+        self.gap = Gap(0, 0)  # the last one
+        self.floor = 0  # the end of the gap before it
         self.plan_settles_at = 0.0  # until then the twin may have told by another plan
 
     # Events
@@ -111,7 +125,7 @@
             return WholeDue()
         if since > self.generation:
             return Unavailable("behind what the caller knows") if part.waits_for(since, now) else WholeDue()
-        if now < self.plan_settles_at or not part.resumes(since):
+        if now < self.plan_settles_at or since < self.floor or since in self.gap or not part.resumes(since):
             return WholeDue()
         return Resumed(part.changes(since, self.generation))
 
@@ -142,6 +156,7 @@
         self.generation = listing.generation
         self.known = {one.name: one for one in present}
         self.unreadable = ()
+        self.floor, self.gap = 0, Gap(0, 0)
         self._note_unreadable(listing)
         self.homes = {}
         members: dict[str, list[Instance]] = {cell: [] for cell in self.parts}
@@ -155,7 +170,7 @@
     def _advance(self, listing: Listing) -> tuple[Action, ...]:
         assert self.generation is not None
         late = listing.generation == self.generation
-        self.generation = listing.generation
+        former, self.generation = self.generation, listing.generation
         changed = [one for one in listing.instances if self.known.get(one.name) != one]
         if listing.whole:
             named = {one.name for one in listing.instances}
@@ -165,6 +180,8 @@
                 if name not in named and not may_be_in(name, listing.unreadable)
             ]
             self.unreadable = ()
+            if self.generation > former + 1:
+                self.floor, self.gap = self.gap.end, Gap(former, self.generation)
         actions = self._tell(changed, late)
         self._note_unreadable(listing)
         return actions
