--- a/tests/relay/test_listing_server.py
+++ b/tests/relay/test_listing_server.py
@@ -6,7 +6,7 @@
 import contextlib
 import socket
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, ClassVar
 
 import pytest
 from lists import DRAINING, GONE, READY, cache, changes, part, read, server, states, whole
@@ -24,8 +24,11 @@
 class Caller:
     """A connection that says what the test says, and reads when it is told to."""
 
+    opened: ClassVar[list[socket.socket]] = []  # by the present test
+
     def __init__(self, opened: socket.socket) -> None:
         self.socket = opened
+        self.opened.append(opened)
 
     @classmethod
     async def open(cls, address: str, request: str = "", buffer: int = 0) -> Caller:
@@ -92,8 +95,11 @@
 class Served:
     """A server of one cell, `a`, whose cache the test feeds."""
 
+    started: ClassVar[list[ListingServer]] = []  # by the present test
+
     def __init__(self, held: ListingCache, whole_answers: int = 8, connections: int = 100) -> None:
         self.cache, self.server = held, ListingServer(held, whole_answers, connections)
+        self.started.append(self.server)
 
     async def start(self) -> Served:
         with socket.create_server(("127.0.0.1", 0)) as found:
@@ -119,7 +125,22 @@
 
 
 def run(work: Callable[[], Coroutine[Any, Any, None]]) -> None:
-    asyncio.run(asyncio.wait_for(work(), 15))
+    """Run a test, and leave nothing open."""
+
+    async def whole_test() -> None:
+        try:
+            await asyncio.wait_for(work(), 15)
+        finally:
+            while Caller.opened:
+                Caller.opened.pop().close()
+            while Served.started:
+                served = Served.started.pop()
+                served.close()
+                while served.connections:
+                    await asyncio.sleep(0)
+            await asyncio.sleep(0)
+
+    asyncio.run(whole_test())
 
 
 async def serving(*listed: Any, **how: Any) -> Served:
