A change to the list costs by what it names; one comparison judges older words

`Roster.apply` copied all that is listed and all that is gone at each list of changes, `counts` and `revives` compared the same things, and `revives` worked each entry out twice. Now two look-ups an entry (`last_start`), the tables changed in place, one comparison (`word`: news, revival or nothing), and a typed `Doubt` in place of a pair, brought forward in place.

--- a/stackwheel/state/roster.py
+++ b/stackwheel/state/roster.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from enum import Enum, auto
 from itertools import islice
 
 from loguru import logger
@@ -56,6 +57,36 @@
     return tuple(found.values())
 
 
+class Word(Enum):
+    """What an older generation's entry says beside the process known under its name."""
+
+    NEWS = auto()  # a process not known yet, or that the one known drains or has left
+    REVIVAL = auto()  # of a process that drains or has left since, that it is there as before
+    NOTHING = auto()  # what is known already, or of a process that a later one has followed
+
+
+@dataclass(slots=True)
+class Doubt:
+    """A whole list of older state that revives something, brought forward by the changes since."""
+
+    since: float  # ms: when the first such list came
+    generation: int
+    instances: dict[str, Instance]
+    unreadable: set[str]
+
+    @classmethod
+    def of(cls, listing: Listing, since: float) -> Doubt:
+        return cls(since, listing.generation, {one.name: one for one in listing.instances}, set(listing.unreadable))
+
+    def advance(self, changes: Listing) -> None:
+        self.generation = changes.generation
+        self.instances.update((one.name, one) for one in changes.instances)
+        self.unreadable |= changes.unreadable
+
+    def listing(self) -> Listing:
+        return Listing(self.generation, True, tuple(self.instances.values()), frozenset(self.unreadable), anew=True)
+
+
 class Roster:
     def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...], ids: Ids) -> None:
         self.zones, self.kinds, self.ids = zones, kinds, ids
@@ -64,28 +95,28 @@
         self.addresses: dict[Server, str] = {}  # where this planner reaches them
         self.gone: dict[Server, float] = {}  # when each had started, the first to go first; each may return
         self.renewed: dict[Server, None] = {}  # the present ones that had an earlier process under the same id
-        self.doubted: tuple[float, Listing] | None = None  # a whole list of older state, since when
+        self.doubt: Doubt | None = None
 
     def apply(self, listing: Listing, now: float = 0.0) -> face.ServerList:
-        """Take a listing in; the event that tells the policy of it."""
+        """Take a listing in; the event that tells the policy of it. Changes cost by what they name, not by the list."""
         listing = self.newer(replace(listing, instances=latest(listing.instances)), now)
         entries = [entry for instance in listing.instances if (entry := self.entry(instance)) is not None]
         here = {e.server: e for e in entries if e.availability is not Availability.GONE}
         gone = {e.server: e.started for e in entries if e.availability is Availability.GONE}
-        former = {**self.gone, **{s: e.started for s, e in self.entries.items()}}
-        self.renewed |= dict.fromkeys(s for s, e in here.items() if e.started > former.get(s, e.started))
+        self.renewed |= dict.fromkeys(s for s, e in here.items() if e.started > self.last_start(s, e.started))
         if listing.whole:
             kept = self.unread(listing, {e.server for e in entries})
             gone |= {s: e.started for s, e in self.entries.items() if s not in here and s not in kept}
             entries += kept.values()
             self.entries = {**kept, **here}
         else:
-            self.entries = {s: e for s, e in {**self.entries, **here}.items() if s not in gone}
+            self.entries |= here
         for server, started in gone.items():
+            self.entries.pop(server, None)
             self.gone[server] = started
             self.addresses.pop(server, None)
             self.renewed.pop(server, None)
-        for server in self.entries:
+        for server in here:
             self.gone.pop(server, None)
         self.generation = listing.generation
         scope = ListScope.WHOLE if listing.whole else ListScope.CHANGES
@@ -100,18 +131,19 @@
     def newer(self, listing: Listing, now: float) -> Listing:
         """Of an older generation than is known, what still counts.
 
-        Of changes that is what `counts` says: anything else would bring back what has left since. A whole list
+        Of changes that is what is `Word.NEWS`: anything else would bring back what has left since. A whole list
         that revives a process which left or drains is an older state, as a fetch that a watch has overtaken
         tells it: it counts like changes. Where no newer word comes while a list can be that old, discovery
         has begun anew, and what it says holds.
         """
         if listing.anew or listing.generation >= self.generation:
-            self.doubted = None
+            self.doubt = None
             return listing
-        if self.doubted is not None and not listing.whole:
-            self.doubted = self.doubted[0], merge(self.doubted[1], listing)
-        elif listing.whole and not self.revives(listing):
-            self.doubted = None
+        words = [(one, self.word(one)) for one in listing.instances]
+        if self.doubt is not None and not listing.whole:
+            self.doubt.advance(listing)
+        elif listing.whole and all(word is not Word.REVIVAL for _, word in words):
+            self.doubt = None
             return listing
         elif listing.whole:
             logger.warning(
@@ -120,37 +152,31 @@
                 self.generation,
                 STALE_MOST / 1000.0,
             )
-            self.doubted = (now if self.doubted is None else self.doubted[0]), listing
-        kept = tuple(one for one in listing.instances if self.counts(one))
-        return Listing(self.generation, False, kept)
+            self.doubt = Doubt.of(listing, now if self.doubt is None else self.doubt.since)
+        return Listing(self.generation, False, tuple(one for one, word in words if word is Word.NEWS))
 
     def settled(self, now: float) -> Listing | None:
         """A whole list that was held for an older state, once nothing newer can be on its way."""
-        if self.doubted is None or now < self.doubted[0] + STALE_MOST:
+        if self.doubt is None or now < self.doubt.since + STALE_MOST:
             return None
-        return replace(self.doubted[1], anew=True)
+        return self.doubt.listing()
+
+    def last_start(self, server: Server, default: float) -> float:
+        """When the process last known under that id had started, whether it is here or gone."""
+        known = self.entries.get(server)
+        return known.started if known is not None else self.gone.get(server, default)
 
-    def counts(self, instance: Instance) -> bool:
-        """Whether an older generation's word of a server still tells something: of a newer process than the one
-        known, of a server not known yet, or that the process known drains or has left."""
+    def word(self, instance: Instance) -> Word:
+        """What an older generation's entry still tells beside what is known."""
         server = digest(instance.name)
         known = self.entries.get(server)
-        if known is not None and instance.started == known.started:
-            return instance.availability is not Availability.READY
-        started = known.started if known is not None else self.gone.get(server)
-        return started is None or instance.started > started
-
-    def revives(self, listing: Listing) -> bool:
-        """Whether it has a process ready that is known to drain, or present that is known to have left."""
-        for one in listing.instances:
-            server = digest(one.name)
-            known = self.entries.get(server)
-            drains = known is not None and known.availability is Availability.DRAINING
-            if drains and one.availability is Availability.READY and one.started <= known.started:  # type: ignore[union-attr]
-                return True
-            if one.availability is not Availability.GONE and one.started <= self.gone.get(server, -1.0):
-                return True
-        return False
+        if (known is None and server not in self.gone) or instance.started > self.last_start(server, 0.0):
+            return Word.NEWS
+        if known is None:
+            return Word.NOTHING if instance.availability is Availability.GONE else Word.REVIVAL
+        if instance.availability is Availability.READY:
+            return Word.REVIVAL if known.availability is Availability.DRAINING else Word.NOTHING
+        return Word.NEWS if instance.started == known.started else Word.NOTHING
 
     def past(self, server: Server, began: float) -> bool:
         """Whether what was met since then may be of a former process under that id."""
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -1,5 +1,7 @@
 """The list as kept: older states, discoveries that begin anew, former processes, entries that can't be read."""
 
+from typing import NoReturn
+
 import pytest
 
 from stackwheel import interface as face
@@ -136,3 +138,25 @@
     assert not roster.past(digest("new"), 4000.0)  # nobody else had that id
     kept.take(whole(43, one("a", READY, 7000.0)))
     assert roster.past(digest("a"), 6000.0) and list(roster.renewed) == [digest("a")]  # and b is forgotten
+
+
+class Unwalked(dict[face.Server, object]):
+    """A mapping that is looked into and changed, never gone through."""
+
+    def __iter__(self) -> NoReturn:
+        raise AssertionError("gone through")
+
+    keys = items = values = __iter__  # type: ignore[assignment]
+
+
+@pytest.mark.parametrize("generation", [41, 3])
+def test_changes_cost_by_what_they_name_and_not_by_the_list(generation: int) -> None:
+    """Each list of changes copied all that is listed and all that is gone."""
+    kept = Kept(changes(40, one("c", GONE, 100.0)))
+    roster = kept.roster
+    roster.entries, roster.gone = Unwalked(roster.entries), Unwalked(roster.gone)  # type: ignore[assignment]
+    words = (one("a", DRAINING), one("b", GONE), one("c", READY, 500.0), one("d"))
+    update = roster.apply(changes(generation, *words))
+    assert [str(roster.ids.name(entry.server)) for entry in update.entries] == ["a", "b", "c", "d"]
+    assert {str(roster.ids.name(s)) for s in dict.__iter__(roster.entries)} == {"a", "c", "d"}
+    assert list(roster.renewed) == [digest("c")] and list(dict.__iter__(roster.gone)) == [digest("b")]
