--- a/stackwheel/cli/root.py
+++ b/stackwheel/cli/root.py
@@ -12,6 +12,7 @@
     "config": ("stackwheel.cli.config:config", "config", "Check and show the operators' own file."),
     "files": ("stackwheel.cli.files:files", "files", "Look at table files and compare them."),
     "trial": ("stackwheel.cli.trial:trial", "trials", "Run the service on a virtual clock against scripted faults."),
+    "scale": ("stackwheel.cli.scale:scale", "scale", "Run registry, planners and relays at the fleet's size."),
 }
 
 
--- /dev/null
+++ b/stackwheel/scale/launch.py
@@ -0,0 +1,28 @@
+"""`python -m stackwheel.scale.launch PARENT COMMAND...`: runs a command that the kernel ends with its parent."""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import signal
+import sys
+
+PR_SET_PDEATHSIG = 1  # prctl(2)
+
+
+def end_with_parent(parent: int) -> None:
+    """Have the kernel send SIGKILL once the parent has died; also where it has died before this call."""
+    if ctypes.CDLL(None, use_errno=True).prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0) != 0:
+        raise OSError(ctypes.get_errno(), "prctl")
+    if os.getppid() != parent:
+        sys.exit(1)
+
+
+def main() -> None:
+    """Take the command's place; the setting outlives that."""
+    end_with_parent(int(sys.argv[1]))
+    os.execv(sys.argv[2], sys.argv[2:])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stackwheel/scale/layout.py
@@ -0,0 +1,77 @@
+"""Who follows what: each planner's cell and addresses, and the entries that each cell holds; pure."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from stackwheel.scale.entries import Entry
+from stackwheel.scale.fleet import DrawnPlanner, Fleet
+
+WHOLE = ""  # the cell of a planner that follows the registry itself: the whole list
+PEER_PORT = 7946  # every hollow planner has an address of its own on the loopback network
+PEER_NET = "127.1"
+PEERS_MOST = 65_536  # addresses in it
+
+CellOfServer = Callable[[str, str], str | None]  # of a server's name and zone
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """A planner in its cell."""
+
+    number: int
+    planner: DrawnPlanner
+    cell: str
+    discovery: str
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """All planners in their cells."""
+
+    placed: tuple[Placed, ...]
+    cell_of_server: CellOfServer
+
+    def planners_by_cell(self) -> dict[str, list[int]]:
+        """The numbers of each cell's planners."""
+        found: defaultdict[str, list[int]] = defaultdict(list)
+        for one in self.placed:
+            found[one.cell].append(one.number)
+        return dict(found)
+
+    def planners_of_servers(self, fleet: Fleet) -> dict[str, list[int]]:
+        """The planners that should hold each server, by its name."""
+        by_cell = self.planners_by_cell()
+        found = {}
+        for server in fleet.servers:
+            cell = self.cell_of_server(server.name, server.zone)
+            if cell is not None and cell in by_cell:
+                found[server.name] = by_cell[cell]
+        return found
+
+    def entries_by_cell(self, entries: Iterable[Entry]) -> dict[str, list[Entry]]:
+        """What each cell with planners should hold of a list."""
+        found: dict[str, list[Entry]] = {one.cell: [] for one in self.placed}
+        for entry in entries:
+            cell = self.cell_of_server(entry.instance_id, entry.zone)
+            if cell is not None and cell in found:
+                found[cell].append(entry)
+        return found
+
+
+def whole_layout(fleet: Fleet, registry: str) -> Layout:
+    """Every planner follows the registry itself."""
+    placed = tuple(Placed(number, planner, WHOLE, registry) for number, planner in enumerate(fleet.planners))
+    return Layout(placed, lambda _name, _zone: WHOLE)
+
+
+def peer_address(number: int) -> str:
+    """The datagram address of a hollow planner."""
+    return f"{PEER_NET}.{number >> 8}.{number & 255}:{PEER_PORT}"
+
+
+def spread(numbers: range, count: int) -> frozenset[int]:
+    """So many of the numbers, at even steps: these planners are real ones."""
+    return frozenset(numbers[place * len(numbers) // count] for place in range(count))
--- /dev/null
+++ b/stackwheel/scale/real.py
@@ -0,0 +1,208 @@
+"""Real planners of a run: the program unchanged, with a generated configuration and one hollow proxy that looks.
+
+What such a planner holds is not readable from outside, so two things are compared: every line that it has ever put
+into the proxy's tables names a server of its cell, and the servers it orders after the run are the cell's ready ones.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from stackwheel.scale.accounting import Traffic
+from stackwheel.scale.children import Child, Children, Role
+from stackwheel.scale.entries import IN_SERVICE, MACHINE_TYPE, Entry
+from stackwheel.scale.layout import Placed
+from stackwheel.scale.meter import Meter
+from stackwheel.scale.proxies import HollowProxy, ProxySettings
+from stackwheel.service.config import VARIABLE
+
+ROUTES = ("read", "write")
+PROXY_RATE = 15.0  # requests a second of the proxy that looks
+LIMITS = {"cores": 0.028, "memory_mb": 128, "sockets": 1024}  # the operators' budget of a planner for control
+THIN_MOST = (
+    150  # servers of a cell up to which a table holds all of them; over some 200 lines it is thinned, see fleet.md
+)
+READY_WITHIN = 30.0  # s from a planner's start to its first PONG: it may hold 48,000 servers on a busy machine
+PING_EVERY = 0.05  # s
+
+
+@dataclass(frozen=True, slots=True)
+class RealDifference:
+    """Where a real planner's tables are not what they should be."""
+
+    unlisted: tuple[str, ...] = ()  # lines for servers that are not ready in its cell
+    unused: tuple[str, ...] = ()  # ready servers without a line, of a cell small enough for all of them
+
+    def count(self) -> int:
+        """Wrong or missing lines."""
+        return len(self.unlisted) + len(self.unused)
+
+    def example(self) -> str:
+        """One of them in words."""
+        if self.unlisted:
+            return f"{self.unlisted[0]} has a line, but is not ready"
+        return f"{self.unused[0]} is ready, but has no line" if self.unused else ""
+
+
+def compare_tables(lines: Collection[str], entries: Sequence[Entry]) -> RealDifference:
+    """A planner's lines against the entries of its cell."""
+    ready = {entry.instance_id for entry in entries if entry.lifecycle == IN_SERVICE}
+    small = len(ready) <= THIN_MOST or not lines
+    unused = tuple(sorted(ready - set(lines))) if small else ()
+    return RealDifference(tuple(sorted(set(lines) - ready)), unused)
+
+
+def configuration(placed: Placed, listen: str, discovery: str, zones: Sequence[str], seed: int) -> dict[str, object]:
+    """A planner's configuration file; the settings are those of `examples/config.json`, on this fleet's zones."""
+    return {
+        "name": placed.planner.name,
+        "listen": listen,
+        "discovery": discovery,
+        "seed": f"{seed:016x}",
+        "limits": LIMITS,
+        "known": {"generation": 0, "reset": True, "instances": []},
+        "settings": {
+            "me": 0,
+            "instances": 1,
+            "zone": list(zones).index(placed.planner.zone),
+            "zones": list(zones),
+            "kinds": [MACHINE_TYPE],
+            "tick": 2.0,
+            "weight_kind": "off",
+            "discovery": "pushed",
+            "load_report": {"columns": ["outstanding"], "source": "off"},
+            "bounds": {"peers": False, "probes": False},
+            "deductions": {"cross_zone": 0.0},
+            "services": [
+                {
+                    "name": name,
+                    "target": 500.0,
+                    "deadline": 1200.0,
+                    "worth": 1.0,
+                    "effect": "repeatable",
+                    "group": "all",
+                    "key_ttl": 5000.0,
+                }
+                for name in ROUTES
+            ],
+            "family_info": {
+                "agents": 8,
+                "backlog": 4500.0,
+                "channel_rate": 3000.0,
+                "cycle": 1000.0,
+                "exclusive": False,
+                "key_ranges": 0,
+                "lb_method": "two",
+                "level_kind": "share",
+                "messages_over": 10000.0,
+                "overhead": 4.0,
+                "strikes": 0,
+                "transit": 150.0,
+                "try_factor": 0.8,
+                "unserved_max": 7000.0,
+                "update_cap": 0,
+                "usual_how": 1,
+                "zone_bound": [False, False],
+            },
+            "obligations": {
+                "ask_within": 10000.0,
+                "cold": 0.0,
+                "cold_share": 0.0,
+                "drain_grace": 3000.0,
+                "fall_multiple": 4.0,
+                "only_draining_binds": False,
+                "overload_for": 3000.0,
+            },
+        },
+    }
+
+
+@dataclass(slots=True)
+class RealPlanner:
+    """One real planner, the meters before its discovery, and the proxy that looks at its tables."""
+
+    placed: Placed
+    listen: str
+    listed: set[str]  # every server that was ever listed, which the proxy accepts
+    seed: int
+    meters: list[Meter] = field(default_factory=list)
+    child: Child | None = None
+    looking: asyncio.Task[None] | None = None
+    proxy: HollowProxy | None = None
+    ended: float = 0.0
+
+    async def prepare(self, folder: Path, host: str, zones: Sequence[str]) -> None:
+        """Stand up its meters and write its configuration."""
+        self.meters = [Meter(address) for address in self.placed.discovery.split(",")]
+        addresses = [await meter.start(host) for meter in self.meters]
+        found = configuration(self.placed, self.listen, ",".join(addresses), zones, self.seed)
+        self.path(folder).write_text(json.dumps(found))
+
+    def path(self, folder: Path) -> Path:
+        return folder / f"{self.placed.planner.name}.json"
+
+    async def start(self, children: Children, folder: Path) -> None:
+        """Start the program and wait for its first PONG; then the proxy joins."""
+        environment = {VARIABLE: str(self.path(folder)), "STACKWHEEL_OPERATORS": ""}
+        self.child = await children.start_program(Role.REAL_PLANNER, self.placed.planner.name, (), environment)
+        async with asyncio.timeout(READY_WITHIN):
+            while not await pong(self.listen):
+                await asyncio.sleep(PING_EVERY)
+        self.look()
+
+    def look(self) -> None:
+        """Have the proxy join, if it hasn't yet; it dials again after any break."""
+        if self.looking is None:
+            settings = ProxySettings(self.listen, ROUTES, self.listed, PROXY_RATE)
+            self.proxy = HollowProxy(0, self.placed.planner.zone, settings, Traffic(), Random(self.seed))
+            self.looking = asyncio.create_task(self.proxy.run())
+
+    async def restart(self, children: Children, folder: Path) -> None:
+        """End it as a restart does, and start it anew."""
+        if self.child is not None:
+            self.child.process.send_signal(signal.SIGTERM)
+            await children.end(self.child)
+        await self.start(children, folder)
+
+    def lines(self) -> set[str]:
+        """All servers that have a line in the proxy's tables."""
+        if self.proxy is None:
+            return set()
+        return {name for held in self.proxy.holdings.routes.values() for name in held.lines}
+
+    def bytes_in(self) -> int:
+        """From discovery."""
+        return sum(meter.bytes_in for meter in self.meters)
+
+    def bytes_out(self) -> int:
+        """To discovery."""
+        return sum(meter.bytes_out for meter in self.meters)
+
+    def close(self) -> None:
+        """Let the proxy go, and the meters."""
+        if self.looking is not None:
+            self.looking.cancel()
+        for meter in self.meters:
+            meter.close()
+
+
+async def pong(address: str) -> bool:
+    """Whether a planner answers there."""
+    host, _, port = address.rpartition(":")
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    try:
+        writer.write(b"PING\r\n")
+        return await reader.readline() == b"PONG\r\n"
+    except OSError:
+        return False
+    finally:
+        writer.transport.abort()
--- /dev/null
+++ b/tests/scale/test_fleet.py
@@ -0,0 +1,104 @@
+"""The draws of a scale run: fleet and schedule."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from stackwheel.scale.entries import IN_SERVICE, TERMINATED, TERMINATING
+from stackwheel.scale.fleet import Shape, default_zones, draw_fleet, systematic_sample
+from stackwheel.scale.scenarios import ZONE_LOST_WITHIN, Scenario, Schedule, default_event_rate, draw_schedule
+from stackwheel.state.ids import digest
+
+SMALL = Shape(servers=1_000, zones=5, planners=300, seed=3)
+FULL = Shape(servers=48_000, zones=85, planners=15_000, seed=1)
+
+
+def test_same_seed_same_fleet_another_seed_another() -> None:
+    assert draw_fleet(SMALL) == draw_fleet(SMALL)
+    assert draw_fleet(SMALL) != draw_fleet(Shape(1_000, 5, 300, 4))
+
+
+def test_full_size_has_the_operators_services_zones_and_regions() -> None:
+    fleet = draw_fleet(FULL)
+    sizes = fleet.sizes()
+    assert len(fleet.servers) == sum(sizes.values()) == 48_000 and len(sizes) == 2_100
+    assert len({server.name for server in fleet.servers}) == 48_000
+    assert len({digest(server.name) for server in fleet.servers}) == 48_000
+    assert len({server.address for server in fleet.servers}) == 48_000
+    assert set(Counter(server.zone for server in fleet.servers).values()) == {564, 565}
+    assert len(fleet.regions) == 85 and len(set(fleet.regions.values())) == 36
+    assert default_zones(48_000) == 85
+    assert max(sizes.values()) > 20 * 48_000 / 2_100  # skewed
+
+
+def test_planners_follow_their_services_sizes_and_none_is_left_out() -> None:
+    fleet = draw_fleet(FULL)
+    planners, sizes = Counter(planner.service for planner in fleet.planners), fleet.sizes()
+    assert set(planners) == set(sizes) and len(fleet.planners) == 15_000
+    rate = (15_000 - len(sizes)) / 48_000
+    assert all(abs(planners[service] - 1 - size * rate) <= 1.0 for service, size in sizes.items())
+    zones = {(server.service, server.zone) for server in fleet.servers}
+    assert all((planner.service, planner.zone) in zones for planner in fleet.planners)
+
+
+@pytest.mark.parametrize("servers", [1, 2, 22, 23, 57])
+def test_small_fleets_add_up(servers: int) -> None:
+    fleet = draw_fleet(Shape(servers, 1, 3, 0))
+    assert len(fleet.servers) == servers and len(fleet.planners) == 3
+
+
+def test_no_planner_is_a_fleet_too() -> None:
+    assert draw_fleet(Shape(5, 1, 0, 0)).planners == ()
+    assert systematic_sample([], 0, Random(0)) == []
+
+
+def lifecycles(schedule: Schedule) -> dict[str, list[tuple[str, int]]]:
+    found: dict[str, list[tuple[str, int]]] = {}
+    for change in schedule.changes:
+        found.setdefault(change.server.name, []).append((change.lifecycle, change.started_at_ms))
+    return found
+
+
+def test_churn_drains_ends_and_returns_as_a_new_process() -> None:
+    schedule = draw_schedule(draw_fleet(SMALL), Scenario.CHURN, 30.0, 20.0, 7)
+    assert len(schedule.changes) > 1_000 and [c.at for c in schedule.changes] == sorted(c.at for c in schedule.changes)
+    for steps in lifecycles(schedule).values():
+        assert [kind for kind, _ in steps] == [TERMINATING, TERMINATED, IN_SERVICE] * (len(steps) // 3)
+        starts = [started for kind, started in steps if kind == IN_SERVICE]
+        assert starts == sorted(set(starts)) and starts[0] > 0
+        assert [started for _, started in steps[:2]] == [0, 0]
+    assert schedule.changes[-1].at < 30.0
+
+
+def test_a_zone_goes_within_a_second_and_is_back_whole() -> None:
+    fleet = draw_fleet(FULL)
+    schedule = draw_schedule(fleet, Scenario.ZONE_LOSS, 20.0, 1.0, 7)
+    gone = [change for change in schedule.changes if change.lifecycle == TERMINATED]
+    assert len(gone) == 565 and len({change.server.zone for change in gone}) == 1
+    assert gone[-1].at - gone[0].at <= ZONE_LOST_WITHIN
+    assert all(steps[-1][0] == IN_SERVICE and steps[-1][1] > 0 for steps in lifecycles(schedule).values())
+
+
+def test_a_restart_names_all_planners_of_the_service_with_most() -> None:
+    fleet = draw_fleet(FULL)
+    schedule = draw_schedule(fleet, Scenario.RESTART, 20.0, 1.0, 7)
+    (restart,) = schedule.restarts
+    counts = Counter(planner.service for planner in fleet.planners)
+    assert len(restart.planners) == max(counts.values())
+    assert len({fleet.planners[number].service for number in restart.planners}) == 1
+
+
+def test_batches_hold_all_changes_in_order_and_no_step_is_exceeded() -> None:
+    schedule = draw_schedule(draw_fleet(FULL), Scenario.ZONE_LOSS, 20.0, 1.0, 7)
+    batches = list(schedule.batches())
+    assert [change for _, batch in batches for change in batch] == list(schedule.changes)
+    assert all(batch[-1].at == at and at - batch[0].at <= 0.05 for at, batch in batches)
+    assert len(batches) < 60
+
+
+def test_the_ordinary_day_is_sixty_times_as_fast() -> None:
+    assert default_event_rate(48_000) == pytest.approx(13_120 / 86_400 * 60)
+    assert default_event_rate(10) == 1.0
