--- a/stackwheel/cli/root.py
+++ b/stackwheel/cli/root.py
@@ -16,6 +16,7 @@
         "Divide a fleet into cells, check and show the plan.",
     ),
     "files": ("stackwheel.cli.files:files", "files", "Look at table files and compare them."),
+    "relay": ("stackwheel.cli.relay:relay", "relay", "Serve cells of planners their parts of the registry's list."),
     "trial": ("stackwheel.cli.trial:trial", "trials", "Run the service on a virtual clock against scripted faults."),
     "scale": ("stackwheel.cli.scale:scale", "scale", "Run registry, planners and relays at the fleet's size."),
 }
