--- a/stackwheel/scale/bounds.py
+++ b/stackwheel/scale/bounds.py
@@ -34,7 +34,8 @@
     planners: int  # hollow
     real_planners: int
     relays: int
-    held_entries: int  # of one planner, the largest
+    held_entries: int  # by all hollow planners together
+    real_entries: int  # by all real ones
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,8 +60,10 @@
         + REGISTRY_MB
         + 2 * listing
         + hollow * (HOLLOW_MB + listing)
-        + size.planners * (HOLLOW_PLANNER_MB + size.held_entries * HELD_ENTRY_MB)
-        + size.real_planners * (REAL_PLANNER_MB + size.held_entries * REAL_ENTRY_MB)
+        + size.planners * HOLLOW_PLANNER_MB
+        + size.held_entries * HELD_ENTRY_MB
+        + size.real_planners * REAL_PLANNER_MB
+        + size.real_entries * REAL_ENTRY_MB
         + size.relays * (RELAY_MB + listing)
     )
     return Estimate(memory, 2 + hollow + size.real_planners + size.relays)
--- a/stackwheel/scale/hollow.py
+++ b/stackwheel/scale/hollow.py
@@ -235,6 +235,7 @@
     while (message := await lines.receive()) is not None and not isinstance(message, Stop):
         await carry_out(process, lines, message)
     settling.cancel()
+    process.peers.close()
     for follower in process.followers.values():
         follower.end()
 
--- a/stackwheel/scale/layout.py
+++ b/stackwheel/scale/layout.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -10,9 +10,7 @@
 from stackwheel.scale.fleet import DrawnPlanner, Fleet
 
 WHOLE = ""  # the cell of a planner that follows the registry itself: the whole list
-PEER_PORT = 7946  # every hollow planner has an address of its own on the loopback network
-PEER_NET = "127.1"
-PEERS_MOST = 65_536  # addresses in it
+PEER_NET = "127.1"  # every hollow planner has an address of its own on the loopback network, 65,536 at most
 
 CellOfServer = Callable[[str, str], str | None]  # of a server's name and zone
 
@@ -51,6 +49,11 @@
                 found[server.name] = by_cell[cell]
         return found
 
+    def held_entries(self, fleet: Fleet) -> list[int]:
+        """How many entries each planner holds, by its number."""
+        sizes = Counter(self.cell_of_server(server.name, server.zone) for server in fleet.servers)
+        return [sizes[one.cell] for one in self.placed]
+
     def entries_by_cell(self, entries: Iterable[Entry]) -> dict[str, list[Entry]]:
         """What each cell with planners should hold of a list."""
         found: dict[str, list[Entry]] = {one.cell: [] for one in self.placed}
@@ -67,9 +70,9 @@
     return Layout(placed, lambda _name, _zone: WHOLE)
 
 
-def peer_address(number: int) -> str:
-    """The datagram address of a hollow planner."""
-    return f"{PEER_NET}.{number >> 8}.{number & 255}:{PEER_PORT}"
+def peer_address(number: int, port: int) -> str:
+    """The datagram address of a hollow planner; the port is the run's own."""
+    return f"{PEER_NET}.{number >> 8}.{number & 255}:{port}"
 
 
 def spread(numbers: range, count: int) -> frozenset[int]:
--- a/stackwheel/scale/peers.py
+++ b/stackwheel/scale/peers.py
@@ -44,6 +44,7 @@
         self.datagrams_in = self.datagrams_out = self.datagrams_computed = 0
         self.bytes_in = self.bytes_out = self.granted = 0
         self.tasks: list[asyncio.Task[None]] = []
+        self.transports: list[asyncio.DatagramTransport] = []
 
     async def start(self, planners: Iterable[HollowPlanner], holding: Callable[[int], Holding]) -> None:
         """Stand open for each planner that has peers, then send once a cycle."""
@@ -54,8 +55,16 @@
             transport, _ = await loop.create_datagram_endpoint(
                 lambda: Receiver(self), local_addr=split_address(planner.listen)
             )
+            self.transports.append(transport)
             self.tasks.append(asyncio.create_task(self.send_cycles(transport, planner, holding)))
 
+    def close(self) -> None:
+        """Send no more, and close all sockets."""
+        for task in self.tasks:
+            task.cancel()
+        for transport in self.transports:
+            transport.close()
+
     async def send_cycles(
         self, transport: asyncio.DatagramTransport, planner: HollowPlanner, holding: Callable[[int], Holding]
     ) -> None:
--- a/stackwheel/scale/run.py
+++ b/stackwheel/scale/run.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import TypeVar
 
+from stackwheel.cells.plan import Plan
 from stackwheel.scale import bounds
 from stackwheel.scale.bounds import Estimate, Size
 from stackwheel.scale.children import Child, Children, Role
@@ -42,8 +43,9 @@
 from stackwheel.scale.entries import Entry
 from stackwheel.scale.fleet import Shape, draw_fleet
 from stackwheel.scale.inforce import InForce, measure
-from stackwheel.scale.layout import Layout, Placed, peer_address, spread, whole_layout
+from stackwheel.scale.layout import Placed, peer_address, spread, whole_layout
 from stackwheel.scale.real import RealDifference, RealPlanner, compare_tables
+from stackwheel.scale.relays import Network, design_plan, relay_layout, start_relays
 from stackwheel.scale.report import (
     VERSION,
     Arguments,
@@ -64,7 +66,6 @@
 SETTLE_EVERY = 0.5
 SAMPLE_EVERY = 1.0
 REPORT_WITHIN = 120.0  # s for records and the comparison of 15,000 planners
-CELL_SERVERS = 512  # a cell's stated most, of which planners with relays hold one
 WRONG_SHOWN = 20
 DIGESTS_SHOWN = 5
 REAL_START_AT_ONCE = 4  # real planners that start together: each takes a core for a moment
@@ -87,8 +88,8 @@
 class Run:
     """All that one run owns."""
 
-    def __init__(self, arguments: Arguments, expected: Estimate, folder: Path, progress: Progress) -> None:
-        self.arguments, self.expected, self.folder, self.progress = arguments, expected, folder, progress
+    def __init__(self, arguments: Arguments, folder: Path, progress: Progress) -> None:
+        self.arguments, self.folder, self.progress = arguments, folder, progress
         self.children = Children(folder, bounds.PROCESSES_MOST)
         self.sampler = Sampler()
         self.fleet = draw_fleet(shape_of(arguments))
@@ -101,7 +102,12 @@
         )
         self.real_numbers = spread(range(len(self.fleet.planners)), arguments.real_planners)
         self.listed = {server.name for server in self.fleet.servers}
-        self.layout: Layout
+        self.peer_lock = held_port(socket.SOCK_DGRAM)
+        self.peer_port = int(self.peer_lock.getsockname()[1])
+        self.network = Network() if arguments.relays else None
+        self.plan = self.design() if self.network is not None else None
+        self.layout = relay_layout(self.fleet, self.plan) if self.plan else whole_layout(self.fleet, "")
+        self.expected: Estimate
         self.registry: Child
         self.hollow: dict[int, Child] = {}  # the process of each hollow planner
         self.real: dict[int, RealPlanner] = {}
@@ -109,9 +115,26 @@
         self.traffic: list[tuple[Traffic, list[Traffic]]] = []  # of the registry and the hollow processes, by second
         self.duration = 0.0
 
+    def design(self) -> Plan:
+        """The plan of cells for this run's fleet and relays."""
+        assert self.network is not None
+        return design_plan(self.fleet, [self.network.host(number) for number in range(self.arguments.relays)])
+
+    def check(self) -> None:
+        """ScaleError where the machine can't hold the run."""
+        held = self.layout.held_entries(self.fleet)
+        real = sum(held[number] for number in self.real_numbers)
+        arguments = self.arguments
+        self.expected = bounds.check(
+            Size(
+                arguments.servers, arguments.planners, arguments.real_planners, arguments.relays, sum(held) - real, real
+            )
+        )
+
     async def run(self) -> Report:
         """From the first process to the report; every process has ended when it returns or fails."""
         try:
+            self.check()
             async with asyncio.timeout(START_WITHIN + self.arguments.duration + 2 * REPORT_WITHIN):
                 return await self.stages()
         finally:
@@ -120,6 +143,9 @@
             for planner in self.real.values():
                 planner.close()
             await self.children.end_all()
+            self.peer_lock.close()
+            if self.network is not None:
+                self.network.close()
 
     async def stages(self) -> Report:
         """Start, live, settle and report, one after another."""
@@ -137,7 +163,12 @@
         self.registry = await self.children.start_module(Role.REGISTRY, "registry", "stackwheel.scale.registry")
         entries = [Entry(server.name, server.address, server.zone) for server in self.fleet.servers]
         address = (await self.registry.ask(Load(HOST, entries), Ready)).address
-        self.layout = whole_layout(self.fleet, address)
+        if self.plan is None:
+            self.layout = whole_layout(self.fleet, address)
+        else:
+            self.progress(f"{len(self.plan.relays)} relays, {len(self.plan.cells)} cells")
+            await start_relays(self.children, self.folder, self.plan, address)
+            self.check_children()
 
     async def start_planners(self) -> float:
         """All planners, hollow and real; seconds until all of them hold a list."""
@@ -169,9 +200,10 @@
     def hollow_planner(self, placed: Placed, by_cell: dict[str, list[int]]) -> HollowPlanner:
         """One to be followed for. The cell's real planners send and get no datagrams."""
         others = [n for n in by_cell[placed.cell] if n != placed.number and n not in self.real_numbers]
-        peers = tuple(peer_address(number) for number in others) if placed.cell else ()
+        peers = tuple(peer_address(number, self.peer_port) for number in others) if placed.cell else ()
         seed = self.arguments.seed * 1_000_003 + placed.number
-        return HollowPlanner(placed.number, placed.cell, placed.discovery, seed, peer_address(placed.number), peers)
+        own = peer_address(placed.number, self.peer_port)
+        return HollowPlanner(placed.number, placed.cell, placed.discovery, seed, own, peers)
 
     async def start_real(self) -> None:
         """Real planners, a few at a time."""
@@ -254,16 +286,17 @@
         self.sampler.read(list(self.children.running))
         registry = await self.registry.ask(AskTraffic(), Traffic)
         hollow = await self.ask_hollow(AskTraffic(), Traffic)
+        now = time.monotonic()
         self.traffic.append((registry, hollow))
         hollow_in, hollow_out = sum(t.bytes_in for t in hollow), sum(t.bytes_out for t in hollow)
         real_in = sum(planner.bytes_in() for planner in self.real.values())
         real_out = sum(planner.bytes_out() for planner in self.real.values())
-        self.sampler.bytes[Role.REGISTRY].add(registry.bytes_in, registry.bytes_out)
-        self.sampler.bytes[Role.HOLLOW_PLANNER].add(hollow_in, hollow_out)
-        self.sampler.bytes[Role.REAL_PLANNER].add(real_in, real_out)
+        self.sampler.bytes[Role.REGISTRY].add(registry.bytes_in, registry.bytes_out, now)
+        self.sampler.bytes[Role.HOLLOW_PLANNER].add(hollow_in, hollow_out, now)
+        self.sampler.bytes[Role.REAL_PLANNER].add(real_in, real_out, now)
         list_in = hollow_in - sum(t.peer_bytes_in for t in hollow) + real_in
         list_out = hollow_out - sum(t.peer_bytes_out for t in hollow) + real_out
-        self.sampler.bytes[Role.RELAY].add(registry.bytes_out + list_out, registry.bytes_in + list_in)
+        self.sampler.bytes[Role.RELAY].add(registry.bytes_out + list_out, registry.bytes_in + list_in, now)
 
     async def plant(self) -> None:
         """Lose an entry on purpose, where that was asked for."""
@@ -435,20 +468,22 @@
     return Shape(arguments.servers, arguments.zones, arguments.planners + arguments.real_planners, arguments.seed)
 
 
-def size_of(arguments: Arguments, held_entries: int) -> Size:
-    """What the estimate is made from."""
-    return Size(arguments.servers, arguments.planners, arguments.real_planners, arguments.relays, held_entries)
-
-
 def machine() -> Machine:
     """This machine."""
     memory = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") >> 20
     return Machine(os.cpu_count() or 1, memory, platform.python_version())
 
 
+def held_port(kind: socket.SocketKind) -> socket.socket:
+    """A socket on a port that nobody else has as long as it is open."""
+    found = socket.socket(socket.AF_INET, kind)
+    found.bind((HOST, 0))
+    return found
+
+
 def free_port() -> int:
     """A port that nobody listens on now."""
-    with socket.create_server((HOST, 0)) as found:
+    with held_port(socket.SOCK_STREAM) as found:
         return int(found.getsockname()[1])
 
 
@@ -462,7 +497,5 @@
 
 async def run_scale(arguments: Arguments, progress: Progress = lambda text: None) -> Report:
     """Make a run; ScaleError where the machine can't hold it, ControlError where one of its processes failed."""
-    held = arguments.servers if not arguments.relays else min(arguments.servers, CELL_SERVERS)
-    expected = bounds.check(size_of(arguments, held))
     with tempfile.TemporaryDirectory(prefix="stackwheel-scale-") as folder:
-        return await Run(arguments, expected, Path(folder), progress).run()
+        return await Run(arguments, Path(folder), progress).run()
--- a/stackwheel/scale/sampling.py
+++ b/stackwheel/scale/sampling.py
@@ -9,24 +9,27 @@
 from stackwheel.scale.children import Child, Role
 from stackwheel.scale.report import RoleFigures
 
+SHORTEST = 0.5  # s between readings whose difference tells a rate: the last one may come right after another
+
 
 @dataclass(slots=True)
 class Series:
-    """One role's bytes so far, second by second."""
+    """One role's bytes so far, reading by reading, about a second apart."""
 
     first: tuple[int, int] | None = None
     last: tuple[int, int] = (0, 0)
-    highest_in: int = 0
-    highest_out: int = 0
+    last_at: float = 0.0
+    highest_in: float = 0.0  # a second, between two readings
+    highest_out: float = 0.0
 
-    def add(self, bytes_in: int, bytes_out: int) -> None:
-        """A further second's reading of the counters."""
+    def add(self, bytes_in: int, bytes_out: int, now: float) -> None:
+        """A further reading of the counters. `now`: s on the monotonic clock."""
         if self.first is None:
             self.first = bytes_in, bytes_out
-        else:
-            self.highest_in = max(self.highest_in, bytes_in - self.last[0])
-            self.highest_out = max(self.highest_out, bytes_out - self.last[1])
-        self.last = bytes_in, bytes_out
+        elif now - self.last_at >= SHORTEST:
+            self.highest_in = max(self.highest_in, (bytes_in - self.last[0]) / (now - self.last_at))
+            self.highest_out = max(self.highest_out, (bytes_out - self.last[1]) / (now - self.last_at))
+        self.last, self.last_at = (bytes_in, bytes_out), now
 
     def total(self) -> tuple[int, int]:
         """Bytes in and out between the first reading and the last."""
@@ -90,6 +93,6 @@
             round(rss, 3),
             round(total_in / seconds / count, 1),
             round(total_out / seconds / count, 1),
-            series.highest_in,
-            series.highest_out,
+            round(series.highest_in),
+            round(series.highest_out),
         )
--- a/tests/scale/test_bounds.py
+++ b/tests/scale/test_bounds.py
@@ -10,18 +10,19 @@
 
 
 def test_a_run_that_fits_is_estimated() -> None:
-    found = check(Size(1_000, 20, 1, 0, 1_000), PLENTY)
+    found = check(Size(1_000, 20, 1, 0, 20_000, 1_000), PLENTY)
     assert 0 < found.memory_mb < 1_000 and found.processes == 4
 
 
 def test_more_of_anything_takes_more() -> None:
-    base = Size(1_000, 20, 1, 2, 1_000)
+    base = Size(1_000, 20, 1, 2, 20_000, 1_000)
     for more in (
-        Size(2_000, 20, 1, 2, 1_000),
-        Size(1_000, 40, 1, 2, 1_000),
-        Size(1_000, 20, 2, 2, 1_000),
-        Size(1_000, 20, 1, 3, 1_000),
-        Size(1_000, 20, 1, 2, 2_000),
+        Size(2_000, 20, 1, 2, 20_000, 1_000),
+        Size(1_000, 40, 1, 2, 20_000, 1_000),
+        Size(1_000, 20, 2, 2, 20_000, 1_000),
+        Size(1_000, 20, 1, 3, 20_000, 1_000),
+        Size(1_000, 20, 1, 2, 40_000, 1_000),
+        Size(1_000, 20, 1, 2, 20_000, 2_000),
     ):
         assert estimate(more).memory_mb > estimate(base).memory_mb
 
@@ -29,9 +30,9 @@
 @pytest.mark.parametrize(
     ("size", "free", "why"),
     [
-        (Size(48_000, 15_000, 0, 0, 48_000), PLENTY, f"{MEMORY_MOST_MB} MB are the most"),
-        (Size(1_000, 0, 300, 0, 1_000), PLENTY, f"{PROCESSES_MOST} are the most"),
-        (Size(1_000, 20, 0, 0, 1_000), 10.0, "the machine has 10 MB free"),
+        (Size(48_000, 15_000, 0, 0, 15_000 * 48_000, 0), PLENTY, f"{MEMORY_MOST_MB} MB are the most"),
+        (Size(1_000, 0, 300, 0, 0, 3_000), PLENTY, f"{PROCESSES_MOST} are the most"),
+        (Size(1_000, 20, 0, 0, 20_000, 0), 10.0, "the machine has 10 MB free"),
     ],
 )
 def test_what_can_not_be_held_is_refused_in_one_line(size: Size, free: float, why: str) -> None:
--- /dev/null
+++ b/tests/scale/test_peers.py
@@ -0,0 +1,50 @@
+"""Datagrams of hollow planners: as many as docs/fleet.md says, none over the most."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from stackwheel.balance import PEERS_MOST
+from stackwheel.interface import Availability
+from stackwheel.scale.control import HollowPlanner
+from stackwheel.scale.holding import Holding, Shared
+from stackwheel.scale.peers import CYCLE_MOST, PeerTraffic, datagrams_per_cycle
+from stackwheel.state.roster import Instance, Listing
+
+
+@pytest.mark.parametrize(
+    ("planners", "servers", "due"),
+    [(1, 500, 0), (7, 23, 6), (7, 31, 6), (7, 32, 12), (2, 31 * 128, 128), (2, 31 * 128 + 1, 0), (16, 512, 0)],
+)
+def test_as_many_as_the_planners_formula(planners: int, servers: int, due: int) -> None:
+    assert datagrams_per_cycle(planners, servers) == due
+
+
+def test_the_most_is_the_policys() -> None:
+    assert CYCLE_MOST == PEERS_MOST
+
+
+def test_datagrams_are_sent_and_read_by_the_others() -> None:
+    async def work() -> None:
+        traffic, holding = PeerTraffic(), Holding(Shared(("zone",), ("m1",)))
+        ready = tuple(Instance(f"s-{n}", "", "zone", "m1", 0, Availability.READY, 1.0, 0.0) for n in range(40))
+        holding.take(Listing(1, True, ready), 0.0)
+        ports = []
+        loop = asyncio.get_running_loop()
+        for _ in range(2):
+            transport, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0))
+            ports.append("{}:{}".format(*transport.get_extra_info("sockname")[:2]))
+            transport.close()
+        await asyncio.sleep(0)
+        planners = [HollowPlanner(n, "c", "", 0, ports[n], (ports[1 - n],)) for n in (0, 1)]
+        await traffic.start(planners, lambda _: holding)
+        async with asyncio.timeout(10):
+            while traffic.datagrams_in < 4:
+                await asyncio.sleep(0.01)
+        traffic.close()
+        assert traffic.datagrams_out >= 4 and traffic.bytes_in > 0
+        assert traffic.datagrams_computed == traffic.datagrams_out
+
+    asyncio.run(work())
--- /dev/null
+++ b/tests/scale/test_relays.py
@@ -0,0 +1,68 @@
+"""Plans and layouts of a run with relays: every planner in one cell, every server at the planners that hold it."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from stackwheel.scale.entries import Entry
+from stackwheel.scale.fleet import Fleet, Shape, draw_fleet
+from stackwheel.scale.layout import Layout, peer_address, spread, whole_layout
+from stackwheel.scale.relays import Network, design_plan, relay_layout
+
+HOSTS = ["127.0.1.1", "127.0.1.2", "127.0.1.3"]
+
+
+@pytest.fixture(scope="module")
+def fleet() -> Fleet:
+    return draw_fleet(Shape(6_000, 11, 1_900, 5))
+
+
+@pytest.fixture(scope="module")
+def layout(fleet: Fleet) -> Layout:
+    return relay_layout(fleet, design_plan(fleet, HOSTS))
+
+
+def entries(fleet: Fleet) -> list[Entry]:
+    return [Entry(server.name, server.address, server.zone) for server in fleet.servers]
+
+
+def test_every_planner_holds_servers_of_its_service_within_the_limits(fleet: Fleet, layout: Layout) -> None:
+    due = layout.entries_by_cell(entries(fleet))
+    counts = Counter(one.cell for one in layout.placed)
+    assert max(counts.values()) <= 16 and max(map(len, due.values())) <= 512
+    for one in layout.placed:
+        assert due[one.cell] and {e.instance_id.rpartition("-")[0] for e in due[one.cell]} == {one.planner.service}
+        assert len(set(one.discovery.split(","))) == 2
+
+
+def test_what_planners_should_hold_is_told_alike_from_both_sides(fleet: Fleet, layout: Layout) -> None:
+    due, held = layout.entries_by_cell(entries(fleet)), layout.held_entries(fleet)
+    planners = layout.planners_of_servers(fleet)
+    assert held == [len(due[one.cell]) for one in layout.placed]
+    assert sum(map(len, planners.values())) == sum(held)
+    assert sum(map(len, due.values())) <= len(fleet.servers)
+
+
+def test_without_relays_everybody_holds_everything(fleet: Fleet) -> None:
+    layout = whole_layout(fleet, "127.0.0.1:1")
+    assert set(layout.held_entries(fleet)) == {6_000}
+    assert all(len(found) == 1_900 for found in layout.planners_of_servers(fleet).values())
+
+
+def test_real_planners_are_spread_over_all() -> None:
+    assert spread(range(100), 4) == {0, 25, 50, 75} and spread(range(3), 3) == {0, 1, 2} and not spread(range(3), 0)
+
+
+def test_datagram_addresses_are_all_different() -> None:
+    assert len({peer_address(number, 7946) for number in range(65_536)}) == 65_536
+
+
+def test_two_runs_have_networks_of_their_own() -> None:
+    first, second = Network(), Network()
+    try:
+        assert first.host(0) != second.host(0)
+    finally:
+        first.close()
+        second.close()
--- a/tests/scale/test_run.py
+++ b/tests/scale/test_run.py
@@ -52,6 +52,16 @@
     assert found["wrong_entries"] == 0 and found["in_force_ms"]["missing"] == 0 and found["in_force_ms"]["count"] > 20
 
 
+def test_planners_behind_relays_end_right_with_their_cells() -> None:
+    done = call("--scenario", "churn", *SMALL, "--relays", "2", "--real-planners", "1", "--json")
+    found = json.loads(done.stdout.splitlines()[-1])
+    assert done.returncode == 0, done.stderr
+    assert found["wrong_entries"] == 0 and found["planners"] == 21 and found["in_force_ms"]["missing"] == 0
+    assert found["cells"]["cells"] > 1 and found["entries_compared"] < 21 * 200
+    assert found["relay"]["count"] == 2 and found["relay"]["core"] > 0 and found["relay"]["bytes_out_per_s"] > 0
+    assert found["datagrams"]["computed_per_s"] > 0 and found["datagrams"]["sent_per_s"] > 0
+
+
 def test_an_entry_that_is_lost_fails_the_run() -> None:
     done = call("--scenario", "zone-loss", *SMALL, "--zones", "2", "--plant", "drop-entry", "--json")
     found = json.loads(done.stdout.splitlines()[-1])
