--- /dev/null
+++ b/stackwheel/scale/choice.py
@@ -0,0 +1,46 @@
+"""Times a forwarder's choice of a server, as `forwarder/` makes it, in microseconds."""
+
+from __future__ import annotations
+
+import statistics
+import time
+from random import Random
+
+from stackwheel.forwarder.holdings import Holdings, choose
+from stackwheel.forwarder.orders import Order, OrderPart
+from stackwheel.scale.slopes import Choice
+
+ROUTE = "read"
+TABLE_LINES = (23, 200, 512)  # a mean service; the most that a table usually has (docs/fleet.md); the largest cell
+ALREADY_TRIED = (0, 2)  # a first try, and the third
+PICK = "two"  # two drawn by weight, the one with less under way: the dearest that holds no state
+CALLS = 2_000  # timed together, as one is near the clock's own cost
+REPEATS = 15
+
+
+def table(lines: int) -> Holdings:
+    """A forwarder that holds one table of so many lines."""
+    names = [f"svc-0001-{number:08x}" for number in range(lines)]
+    holdings = Holdings((ROUTE,), frozenset(names))
+    weights = Random(lines)
+    holdings.apply(Order((OrderPart((ROUTE,), True, tuple((name, weights.uniform(0.5, 1.5)) for name in names)),)))
+    return holdings
+
+
+def time_choice(lines: int, without: int, repeats: int = REPEATS, calls: int = CALLS) -> Choice:
+    """Time choices from a table, some servers tried already; means of each repeat."""
+    held = table(lines).routes[ROUTE]
+    tried = held.open[:without]
+    random, under_way = Random(1), {name: number % 3 for number, name in enumerate(held.open)}
+    means = []
+    for _ in range(repeats):
+        began = time.perf_counter_ns()
+        for _ in range(calls):
+            choose(held, PICK, random, under_way, (), tried)
+        means.append(round((time.perf_counter_ns() - began) / calls / 1000.0, 3))
+    return Choice(lines, without, min(means), statistics.median(means), means)
+
+
+def time_choices() -> list[Choice]:
+    """All sizes and tries."""
+    return [time_choice(lines, without) for lines in TABLE_LINES for without in ALREADY_TRIED]
--- /dev/null
+++ b/stackwheel/scale/surroundings.py
@@ -0,0 +1,219 @@
+"""All that one planner under test speaks with: discovery, servers that answer probes, other planners."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Sequence
+
+import h11
+import msgspec
+
+from stackwheel import peers
+from stackwheel.scale.accounting import Traffic
+from stackwheel.state.ids import digest
+from stackwheel.wire import timing
+from stackwheel.wire.datagrams import MOST_BYTES
+
+LIST_PATH = "/registry/instances"
+HOST = "127.0.0.1"
+READ_BYTES = 64 * 1024
+RATE_OF_A_PEER = 1.0  # requests a second that a peer says it sends to each server: any figure costs the same
+PEER_PROXIES = 4
+IN_SERVICE, TERMINATING, TERMINATED = "in_service", "terminating", "terminated"
+
+
+class ListEntry(msgspec.Struct, rename="camel"):
+    """One server in the published list; the fields of the protocol page, in its order."""
+
+    instance_id: str
+    host_port: str
+    zone: str
+    machine_type: str = "m1"
+    cell: int = 0
+    lifecycle: str = IN_SERVICE
+    weight: float = 1.0
+    started_at_ms: int = 0
+
+
+class ListDocument(msgspec.Struct):
+    """An answer of discovery."""
+
+    generation: int
+    reset: bool
+    instances: Sequence[ListEntry]
+
+
+class ListFeed:
+    """Discovery for one planner: the whole list, and a watch that is told changes one by one.
+
+    Changes take a server through the three steps of a restart (drains, has left, is back as a new process), one
+    step a change, servers in turn.
+    """
+
+    def __init__(self, entries: Sequence[ListEntry], traffic: Traffic) -> None:
+        self.entries, self.traffic = list(entries), traffic
+        self.generation = 1
+        self.watches: dict[asyncio.StreamWriter, h11.Connection] = {}
+        self.changed_at: list[tuple[int, ListEntry]] = []
+        self.place = 0  # of the server that is being restarted
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One connection: a fetch, or a watch until it ends."""
+        http = h11.Connection(h11.SERVER)
+        with contextlib.suppress(OSError, h11.ProtocolError), contextlib.closing(writer):
+            target = await self.read_request(http, reader)
+            if "follow=1" in target:
+                await self.watch(http, reader, writer, since(target))
+            else:
+                self.write(http, writer, self.document(None))
+                writer.write(http.send(h11.EndOfMessage()))
+                await writer.drain()
+
+    async def read_request(self, http: h11.Connection, reader: asyncio.StreamReader) -> str:
+        while True:
+            event = http.next_event()
+            if isinstance(event, h11.Request):
+                self.traffic.sent(0)
+                return event.target.decode()
+            if event is not h11.NEED_DATA:
+                raise ConnectionError("no request")
+            data = await reader.read(READ_BYTES)
+            self.traffic.sent(len(data), 0)
+            http.receive_data(data)
+
+    async def watch(
+        self, http: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, known: int | None
+    ) -> None:
+        self.write(http, writer, self.document(known))
+        self.watches[writer] = http
+        told = self.generation
+        try:
+            while not reader.at_eof():
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(reader.read(READ_BYTES), timing.BEAT / 1000.0)
+                    continue
+                if told == self.generation:
+                    self.write(http, writer, b"\n")
+                told = self.generation
+        finally:
+            del self.watches[writer]
+
+    def document(self, known: int | None) -> bytes:
+        """The whole list, or what came after a generation; as one line."""
+        whole = known is None or known == 0
+        found = self.entries if known is None or whole else [one for at, one in self.changed_at if at > known]
+        return msgspec.json.encode(ListDocument(self.generation, whole, found)) + b"\n"
+
+    def change(self, count: int = 1) -> None:
+        """Tell so many changes as one generation."""
+        self.generation += 1
+        changed = [self.next_step() for _ in range(count)]
+        self.changed_at += [(self.generation, entry) for entry in changed]
+        line = msgspec.json.encode(ListDocument(self.generation, False, changed)) + b"\n"
+        for writer, http in list(self.watches.items()):
+            self.write(http, writer, line)
+
+    def next_step(self) -> ListEntry:
+        entry = self.entries[self.place]
+        if entry.lifecycle == TERMINATED:
+            changed = msgspec.structs.replace(entry, lifecycle=IN_SERVICE, started_at_ms=self.generation)
+        else:
+            after = TERMINATING if entry.lifecycle == IN_SERVICE else TERMINATED
+            changed = msgspec.structs.replace(entry, lifecycle=after)
+        self.entries[self.place] = changed
+        if changed.lifecycle == IN_SERVICE:
+            self.place = (self.place + 1) % len(self.entries)
+        return changed
+
+    def write(self, http: h11.Connection, writer: asyncio.StreamWriter, body: bytes) -> None:
+        data = b""
+        if http.our_state is h11.SEND_RESPONSE:
+            headers = [("Content-Type", "application/json"), ("Transfer-Encoding", "chunked")]
+            data = http.send(h11.Response(status_code=200, headers=headers))
+        data += http.send(h11.Data(body))
+        writer.write(data)
+        self.traffic.received(len(data))
+
+
+def since(target: str) -> int | None:
+    """The generation that a watch names, if any."""
+    words = dict(word.partition("=")[::2] for word in target.partition("?")[2].split("&"))
+    return int(words["since"]) if words.get("since", "").isdecimal() else None
+
+
+class ProbedServers:
+    """One address at which all servers answer probes: alive, with a load report."""
+
+    def __init__(self, traffic: Traffic) -> None:
+        self.traffic = traffic
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One probe."""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError), contextlib.closing(writer):
+            request = await reader.readuntil(b"\r\n\r\n")
+            self.traffic.sent(len(request))
+            body = b"inflight=1"
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s" % (len(body), body)
+            writer.write(answer)
+            self.traffic.received(len(answer))
+            await writer.drain()
+
+
+class PeerEnd(asyncio.DatagramProtocol):
+    """One end at which a planner's datagrams are counted, and from which a peer's are sent."""
+
+    def __init__(self, traffic: Traffic) -> None:
+        self.traffic = traffic
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:  # type: ignore[override]
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        self.traffic.sent(len(data))
+
+    def address(self) -> str:
+        """Where it receives."""
+        assert self.transport is not None
+        host, port = self.transport.get_extra_info("sockname")[:2]
+        return f"{host}:{port}"
+
+    def send(self, payload: bytes, address: tuple[str, int]) -> None:
+        assert self.transport is not None and len(payload) <= MOST_BYTES
+        self.transport.sendto(payload, address)
+        self.traffic.received(len(payload))
+
+
+class PeerPlanners:
+    """The other planners of a tier: each tells its load once a cycle, as long as the policy would send so much."""
+
+    def __init__(self, servers: Sequence[str], datagrams_most: int, traffic: Traffic) -> None:
+        self.payloads = peers.pack(PEER_PROXIES, {digest(name): RATE_OF_A_PEER for name in servers})
+        self.datagrams_most, self.traffic = datagrams_most, traffic
+        self.everyone = PeerEnd(traffic)
+        self.ends: list[PeerEnd] = []
+
+    async def open(self, others: int) -> None:
+        """Stand up so many peers, and the address of all."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self.everyone, local_addr=(HOST, 0))
+        for _ in range(others):
+            _, end = await loop.create_datagram_endpoint(lambda: PeerEnd(self.traffic), local_addr=(HOST, 0))
+            self.ends.append(end)
+
+    async def run(self, planner: tuple[str, int]) -> None:
+        """Send until cancelled; nothing where the planner would have to read over `datagrams_most` a cycle."""
+        if not 0 < len(self.ends) * len(self.payloads) <= self.datagrams_most:
+            return
+        while True:
+            for end in self.ends:
+                for payload in self.payloads:
+                    end.send(payload, planner)
+                await asyncio.sleep(1.0 / len(self.ends))
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for end in (self.everyone, *self.ends):
+            if end.transport is not None:
+                end.transport.close()
