--- a/stackwheel/cli/scale_slopes.py
+++ b/stackwheel/cli/scale_slopes.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+from collections.abc import Coroutine
 from pathlib import Path
+from typing import Any, TypeVar
 
 import click
 
 from stackwheel.scale.slopes import ResultError, read_result
 
+Measured = TypeVar("Measured")
 RESULT = click.Path(dir_okay=False, path_type=Path)
 
 
@@ -30,10 +34,11 @@
         raise click.UsageError(f"no sweep {unknown[0]!r}; known are {', '.join(known)}")
     plans = [known[name] for name in only] or list(known.values())
     direct = [] if no_direct else list(sweep.DIRECT)
+    work = sweep.run_all(plans, direct, sweep.Timing(span), repeats, seed, lambda text: click.echo(text, err=True))
     try:
-        measured, points = asyncio.run(
-            sweep.run_all(plans, direct, sweep.Timing(span), repeats, seed, lambda text: click.echo(text, err=True))
-        )
+        measured, points = asyncio.run(until_told_to_stop(work))
+    except asyncio.CancelledError:
+        raise click.Abort from None
     except sweep.SweepError as error:
         click.echo(f"stackwheel: {error}", err=True)
         return 1
@@ -43,6 +48,13 @@
     return 0
 
 
+async def until_told_to_stop(work: Coroutine[Any, Any, Measured]) -> Measured:
+    """SIGTERM ends a run as Ctrl-C does: what it has started ends with it."""
+    task = asyncio.ensure_future(work)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
+
+
 def told(path: Path) -> str:
     """The generated part of docs/CAPACITY.md from a result file; a usage error (exit 2) if it cannot be used."""
     from stackwheel.scale.capacity import render
--- a/stackwheel/scale/slopes.py
+++ b/stackwheel/scale/slopes.py
@@ -55,6 +55,7 @@
     size: float
     usage: Usage
     span_seconds: float
+    peak: Usage  # of each metric the highest second
     channels: dict[str, ChannelRates]  # what `usage` adds up
     load_average: float  # of the last minute, as the kernel tells it at the end of the span
     start_list_bytes: int = 0  # of the whole list, as it was first sent
@@ -183,7 +184,17 @@
 
 def mean_usage(repeats: Sequence[Repeat]) -> Usage:
     """The mean of each metric."""
-    return Usage(*(sum(getattr(one.usage, metric) for one in repeats) / len(repeats) for metric in METRICS))
+    return mean([one.usage for one in repeats])
+
+
+def mean(usages: Sequence[Usage]) -> Usage:
+    """The mean of each metric."""
+    return Usage(*(sum(getattr(one, metric) for one in usages) / len(usages) for metric in METRICS))
+
+
+def highest(usages: Sequence[Usage]) -> Usage:
+    """The highest value of each metric."""
+    return Usage(*(max(getattr(one, metric) for one in usages) for metric in METRICS))
 
 
 def predict(fits: dict[str, Fit], size: float) -> dict[str, float]:
--- a/stackwheel/scale/surroundings.py
+++ b/stackwheel/scale/surroundings.py
@@ -101,14 +101,25 @@
 
     def document(self, known: int | None) -> bytes:
         """The whole list, or what came after a generation; as one line."""
-        whole = known is None or known == 0
-        found = self.entries if known is None or whole else [one for at, one in self.changed_at if at > known]
-        return msgspec.json.encode(ListDocument(self.generation, whole, found)) + b"\n"
+        if not known:
+            listed = [one for one in self.entries if one.lifecycle != TERMINATED]
+            return msgspec.json.encode(ListDocument(self.generation, True, listed)) + b"\n"
+        found = [one for at, one in self.changed_at if at > known]
+        return msgspec.json.encode(ListDocument(self.generation, False, found)) + b"\n"
 
     def change(self, count: int = 1) -> None:
         """Tell so many changes as one generation."""
+        self.tell([self.next_step() for _ in range(count)])
+
+    def lose(self, zone: str) -> None:
+        """All servers of a zone have left, told as one generation."""
+        for place, entry in enumerate(self.entries):
+            if entry.zone == zone:
+                self.entries[place] = msgspec.structs.replace(entry, lifecycle=TERMINATED)
+        self.tell([entry for entry in self.entries if entry.zone == zone])
+
+    def tell(self, changed: Sequence[ListEntry]) -> None:
         self.generation += 1
-        changed = [self.next_step() for _ in range(count)]
         self.changed_at += [(self.generation, entry) for entry in changed]
         line = msgspec.json.encode(ListDocument(self.generation, False, changed)) + b"\n"
         for writer, http in list(self.watches.items()):
--- a/stackwheel/scale/sweep.py
+++ b/stackwheel/scale/sweep.py
@@ -13,8 +13,10 @@
 import time
 from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass, field, replace
+from itertools import pairwise
 from pathlib import Path
 from random import Random
+from typing import Any
 
 from stackwheel.balance import PEERS_MOST
 from stackwheel.scale.accounting import AccountingError, Channel, ProcessUsage, Traffic, TrafficCounters, read_usage
@@ -28,6 +30,7 @@
     Usage,
     fit_all,
     held_out,
+    highest,
     mean_usage,
     predict,
 )
@@ -37,6 +40,8 @@
 ROUTES = ("read", "write")
 MEAN_REQUESTS = 471  # a second of a service: 990,000 over 2,100; each is met by one server, and reported from there
 REQUESTS_PER_PROXY = 15.0  # a second
+SECOND = 1.0
+ZONE_LOST_AFTER = 1.5  # s from the span's start
 READY_SECONDS = 20.0  # from the process's start to its first PONG; 0.8 s is usual with 48,000 servers
 TABLES_SECONDS = 8.0  # from joining until every proxy holds a table, before the span begins anyway
 SETTLE_SECONDS = 2.0  # after that: two cycles of reports, so that whole tables follow short ones
@@ -58,6 +63,7 @@
     proxies: int = 32
     planners: int = 1
     changes: float = 0.0  # of the list, a second
+    zone_lost: bool = False  # all servers of the first zone leave during the span
     requests: int = MEAN_REQUESTS  # a second that collectors report on: no more servers a cycle can have met one
 
     def entries(self, probe_address: str) -> list[ListEntry]:
@@ -88,7 +94,8 @@
 
     def points(self, size: int) -> Point:
         """The point at a size of the swept variable."""
-        return replace(self.base, **{FIELDS.get(self.variable, self.variable): size})
+        changed: dict[str, Any] = {FIELDS.get(self.variable, self.variable): size}
+        return replace(self.base, **changed)
 
 
 FIELDS = {"list": "servers"}  # sweeps that are named otherwise than the field they change
@@ -101,12 +108,22 @@
     Plan("planners", (2, 4, 8, 16), 32, Point(servers=23), 3),
     Plan("changes", (1, 2, 4, 8), 16, Point(servers=256), 3),
 )
+MEAN_CELL = Point(servers=23, zones=2, proxies=5, planners=7)
+SERVICE_PART = Point(servers=51, zones=2, proxies=5, planners=16, requests=1056)  # 16 planners' part of a large one
+LARGEST_CELL = Point(servers=512, zones=2, proxies=44, planners=16, requests=512)  # both limits of the plan file
+WHOLE_LIST = Point(servers=48_000, zones=85, proxies=5)  # a mean service's planner, without cells
 DIRECT = {
-    "mean cell": Point(servers=23, zones=2, proxies=5, planners=7),
-    "mean cell, one proxy a request": Point(servers=23, zones=2, proxies=66, planners=7),
-    "largest cell": Point(servers=512, zones=2, proxies=44, planners=16, requests=512),
-    "whole list": Point(servers=48_000, zones=85, proxies=5),
+    "mean cell": MEAN_CELL,
+    "mean cell, one request a proxy": replace(MEAN_CELL, proxies=66),
+    "mean cell, zone lost": replace(MEAN_CELL, zone_lost=True),
+    "part of the largest service": SERVICE_PART,
+    "part of the largest service, zone lost": replace(SERVICE_PART, zone_lost=True),
+    "largest cell": LARGEST_CELL,
+    "largest cell, zone lost": replace(LARGEST_CELL, zone_lost=True),
+    "whole list": WHOLE_LIST,
+    "whole list, zone lost": replace(WHOLE_LIST, zone_lost=True),
 }
+DIRECT_JOBS = 2
 
 
 def planner_config(point: Point, listen: str, discovery: str, peers: PeerPlanners, seed: int) -> dict[str, object]:
@@ -242,6 +259,11 @@
             await asyncio.sleep(1.0 / self.point.changes)
             self.feed.change()
 
+    async def lose_zone(self) -> None:
+        """The first zone's servers leave at once, in the middle of the span's first seconds."""
+        await asyncio.sleep(ZONE_LOST_AFTER)
+        self.feed.lose(self.point.zone(0))
+
     def served(self) -> bool:
         return all(proxy.holds_table() for proxy in self.proxies)
 
@@ -305,17 +327,38 @@
         listed = bench.counters[Channel.LIST].bytes_in
         if point.changes:
             bench.keep(bench.change())
+        if point.zone_lost:
+            bench.keep(bench.lose_zone())
         try:
-            before, traffic, began = read_usage(process.pid), bench.counters.reading(), time.monotonic()
-            await asyncio.sleep(timing.span)
-            after, span = read_usage(process.pid), time.monotonic() - began
+            seconds = await sample(process.pid, bench.counters, timing.span)
         except AccountingError as error:
             raise SweepError(f"planner ended while it was measured at {point}: {error}") from None
-        counted = bench.counters.since(traffic)
-        usage = usage_between(before, after, counted, span)
-        orders = sum(proxy.state.orders for proxy in bench.proxies)
+        first, last = seconds[0], seconds[-1]
+        span = last.at - first.at
+        counted = last.traffic.since(first.traffic)
+        peak = highest([usage_between(one, other) for one, other in pairwise(seconds)])
         channels = {channel.value: channel_rates(one, span) for channel, one in counted.channels.items()}
-        return Repeat(size, usage, round(span, 3), channels, round(os.getloadavg()[0], 2), listed, orders)
+        load, orders = os.getloadavg()[0], sum(proxy.state.orders for proxy in bench.proxies)
+        return Repeat(size, usage_between(first, last), round(span, 3), peak, channels, round(load, 2), listed, orders)
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """A process and its traffic at a moment of the monotonic clock, in seconds."""
+
+    at: float
+    process: ProcessUsage
+    traffic: TrafficCounters
+
+
+async def sample(pid: int, counters: TrafficCounters, span: float) -> list[Reading]:
+    """Readings once a second over a span, first and last included."""
+    found = [Reading(time.monotonic(), read_usage(pid), counters.reading())]
+    end = found[0].at + span
+    while (left := end - time.monotonic()) > 0:
+        await asyncio.sleep(min(SECOND, left))
+        found.append(Reading(time.monotonic(), read_usage(pid), counters.reading()))
+    return found
 
 
 def channel_rates(traffic: Traffic, span: float) -> ChannelRates:
@@ -324,16 +367,17 @@
     return ChannelRates(*(round(count / span, 2) for count in counts))
 
 
-def usage_between(before: ProcessUsage, after: ProcessUsage, traffic: TrafficCounters, span: float) -> Usage:
-    """Rates over a span. Memory is that at its end."""
-    control, data = list(traffic.control()), list(traffic.data_path())
+def usage_between(before: Reading, after: Reading) -> Usage:
+    """Rates between two readings. Memory is that of the later."""
+    span, counted = after.at - before.at, after.traffic.since(before.traffic)
+    control, data = list(counted.control()), list(counted.data_path())
     rates = {
         f"{name}_{field}": round(sum(getattr(one, field) for one in group) / span, 2)
         for name, group in (("control", control), ("data", data))
         for field in ("bytes_in", "bytes_out", "messages_in", "messages_out")
     }
-    core = (after.cpu_seconds - before.cpu_seconds) / span
-    return Usage(core=round(core, 6), rss_mb=round(after.rss_mb, 2), **rates)
+    core = (after.process.cpu_seconds - before.process.cpu_seconds) / span
+    return Usage(core=round(core, 6), rss_mb=round(after.process.rss_mb, 2), **rates)
 
 
 async def repeats_of(
@@ -395,8 +439,8 @@
     found: dict[str, list[Repeat]] = {}
     for name in direct:
         tell(name)
-        point = DIRECT[name]
-        found[name] = await repeats_of([(float(point.servers), point)], timing, repeats, seed, 1, tell)
+        points = [(float(DIRECT[name].servers), DIRECT[name])]
+        found[name] = await repeats_of(points, timing, repeats, seed, DIRECT_JOBS, tell)
     return sweeps, found
 
 
