--- a/stackwheel/cli/scale_slopes.py
+++ b/stackwheel/cli/scale_slopes.py
@@ -27,19 +27,21 @@
     """Measure what a real planner costs against each size; takes about seven minutes and up to two cores."""
     from stackwheel.scale import sweep
     from stackwheel.scale.choice import time_choices
+    from stackwheel.scale.planner_bench import SweepError
+    from stackwheel.scale.points import DIRECT, PLANS
     from stackwheel.scale.slopes import VERSION, Result, write_result
 
-    known = {plan.variable: plan for plan in sweep.PLANS}
+    known = {plan.variable: plan for plan in PLANS}
     if unknown := [name for name in only if name not in known]:
         raise click.UsageError(f"no sweep {unknown[0]!r}; known are {', '.join(known)}")
     plans = [known[name] for name in only] or list(known.values())
-    direct = [] if no_direct else list(sweep.DIRECT)
+    direct = [] if no_direct else list(DIRECT)
     work = sweep.run_all(plans, direct, sweep.Timing(span), repeats, seed, lambda text: click.echo(text, err=True))
     try:
         measured, points = asyncio.run(until_told_to_stop(work))
     except asyncio.CancelledError:
         raise click.Abort from None
-    except sweep.SweepError as error:
+    except SweepError as error:
         click.echo(f"stackwheel: {error}", err=True)
         return 1
     arguments = {"repeats": float(repeats), "span": span, "seed": float(seed)}
@@ -57,7 +59,7 @@
 
 def told(path: Path) -> str:
     """The generated part of docs/CAPACITY.md from a result file; a usage error (exit 2) if it cannot be used."""
-    from stackwheel.scale.capacity import render
+    from stackwheel.scale.capacity_page import render
 
     try:
         return render(read_result(path))
