--- a/stackwheel/cli/scale.py
+++ b/stackwheel/cli/scale.py
@@ -66,6 +66,8 @@
         raise click.UsageError(f"--scenario is missing: {', '.join(SCENARIOS)}")
     if planners + real_planners == 0:
         raise click.UsageError("no planner: give --planners or --real-planners")
+    if planners + real_planners > PLANNERS_MOST:
+        raise click.UsageError(f"{planners + real_planners} planners; {PLANNERS_MOST} are the most")
     if plant and not planners:
         raise click.UsageError("--plant loses an entry of a hollow planner: give --planners")
     if relays == 1:
--- a/stackwheel/scale/hollow.py
+++ b/stackwheel/scale/hollow.py
@@ -47,6 +47,7 @@
 
 ASK_WITHIN = 10_000.0  # ms: `obligations.ask_within` of the example configuration; it bounds the back-off
 START_STEP = 0.002  # s between the planners of a process that begin to follow, so that a start is no herd
+SWEEP_LEAST = 10_000  # entries of a process below which none are forgotten
 SETTLE_EVERY = 0.5  # s between looks for lists that are held as doubtful, see `Roster.settled`
 
 
@@ -155,6 +156,7 @@
         self.records = InForceRecords()
         self.peers = PeerTraffic()
         self.shared = Shared((), (MACHINE_TYPE,))
+        self.sweep_at = SWEEP_LEAST
 
     async def follow(self, message: Follow) -> None:
         """Begin to follow, spread over a short time."""
@@ -173,6 +175,9 @@
             for follower in self.followers.values():
                 if follower.holding.doubted is not None:
                     follower.settle(time.monotonic())
+            if len(self.shared.entries) > self.sweep_at:
+                self.shared.sweep(follower.holding for follower in self.followers.values())
+                self.sweep_at = max(SWEEP_LEAST, 2 * len(self.shared.entries))
 
     def traffic(self) -> Traffic:
         return Traffic(
--- a/stackwheel/scale/peers.py
+++ b/stackwheel/scale/peers.py
@@ -24,6 +24,14 @@
     return needed if needed <= CYCLE_MOST else 0
 
 
+def bytes_per_cycle(planners: int, servers: int) -> int:
+    """The bytes of those datagrams that one planner of a cell reads in a cycle."""
+    if not datagrams_per_cycle(planners, servers):
+        return 0
+    payloads = math.ceil(servers / peers.LINES)
+    return (planners - 1) * (payloads * peers.HEAD.size + servers * peers.LINE.size)
+
+
 class Receiver(asyncio.DatagramProtocol):
     """Counts what comes in."""
 
--- a/stackwheel/scale/report.py
+++ b/stackwheel/scale/report.py
@@ -56,6 +56,8 @@
     computed_per_s: float = 0.0  # by the planner's own formula
     sent_per_s: float = 0.0  # for real, over UDP
     received_per_s: float = 0.0
+    mean_bytes_per_s: float = 0.0  # that one planner would read by the formula, sent for real or not
+    most_bytes_per_s: int = 0  # of the planner that would read most
 
 
 class Machine(msgspec.Struct, frozen=True):
@@ -81,6 +83,7 @@
     """The sizes of the cells that have planners."""
 
     cells: int = 0
+    largest_service: int = 0  # servers
     largest_servers: int = 0
     largest_planners: int = 0
     mean_servers_of_a_planner: float = 0.0
--- a/stackwheel/scale/run.py
+++ b/stackwheel/scale/run.py
@@ -44,6 +44,7 @@
 from stackwheel.scale.fleet import Shape, draw_fleet
 from stackwheel.scale.inforce import InForce, measure
 from stackwheel.scale.layout import Placed, peer_address, spread, whole_layout
+from stackwheel.scale.peers import SENT_MOST, bytes_per_cycle
 from stackwheel.scale.real import RealDifference, RealPlanner, compare_tables
 from stackwheel.scale.relays import Network, design_plan, relay_layout, start_relays
 from stackwheel.scale.report import (
@@ -411,6 +412,7 @@
         largest = sorted(servers, key=lambda cell: (-servers[cell], cell))[:DIGESTS_SHOWN]
         return CellNotes(
             len(servers),
+            max(self.fleet.sizes().values()),
             max(servers.values()),
             max(planners.values()),
             round(sum(servers[one.cell] for one in self.layout.placed) / len(self.layout.placed), 1),
@@ -425,15 +427,27 @@
         def rate(count: Callable[[Traffic], int]) -> float:
             return round((sum(map(count, last)) - sum(map(count, first))) / self.duration, 1)
 
+        read = self.datagram_bytes()
         return Datagrams(
-            rate(lambda t: t.datagrams_computed), rate(lambda t: t.datagrams_out), rate(lambda t: t.datagrams_in)
+            rate(lambda t: t.datagrams_computed),
+            rate(lambda t: t.datagrams_out),
+            rate(lambda t: t.datagrams_in),
+            round(sum(read) / len(read), 1),
+            max(read),
         )
 
+    def datagram_bytes(self) -> list[int]:
+        """What each planner would read a second, were all datagrams of its cell sent."""
+        held = self.layout.held_entries(self.fleet)
+        planners = {cell: len(numbers) for cell, numbers in self.layout.planners_by_cell().items()}
+        return [bytes_per_cycle(planners[one.cell], held[one.number]) for one in self.layout.placed]
+
     def notes(self, records: list[Records]) -> list[str]:
         """What a reader of the figures has to know."""
         found = [
             "core: processor time of the processes over the run; bytes: payload of TCP and UDP, counted at the sockets",
             "in force: of hollow planners",
+            f"datagrams: sent for real up to {SENT_MOST} a second from each hollow process, to each peer by itself",
         ]
         if self.real:
             found.append(
--- a/tests/scale/test_peers.py
+++ b/tests/scale/test_peers.py
@@ -8,9 +8,11 @@
 
 from stackwheel.balance import PEERS_MOST
 from stackwheel.interface import Availability
+from stackwheel.peers import pack
 from stackwheel.scale.control import HollowPlanner
 from stackwheel.scale.holding import Holding, Shared
-from stackwheel.scale.peers import CYCLE_MOST, PeerTraffic, datagrams_per_cycle
+from stackwheel.scale.peers import CYCLE_MOST, PeerTraffic, bytes_per_cycle, datagrams_per_cycle
+from stackwheel.state.ids import digest
 from stackwheel.state.roster import Instance, Listing
 
 
@@ -22,6 +24,13 @@
     assert datagrams_per_cycle(planners, servers) == due
 
 
+@pytest.mark.parametrize(("planners", "servers"), [(7, 23), (2, 31), (2, 32), (16, 70), (1, 9), (16, 512)])
+def test_bytes_are_those_of_the_planners_own_datagrams(planners: int, servers: int) -> None:
+    payloads = pack(5, {digest(str(number)): 1.0 for number in range(servers)})
+    sent = datagrams_per_cycle(planners, servers) > 0
+    assert bytes_per_cycle(planners, servers) == (planners - 1) * sum(map(len, payloads)) * sent
+
+
 def test_the_most_is_the_policys() -> None:
     assert CYCLE_MOST == PEERS_MOST
 
--- /dev/null
+++ b/tests/scale/test_real.py
@@ -0,0 +1,41 @@
+"""What is compared of real planners, and the configuration they get."""
+
+from __future__ import annotations
+
+from stackwheel.scale.entries import IN_SERVICE, TERMINATING, Entry
+from stackwheel.scale.fleet import DrawnPlanner
+from stackwheel.scale.layout import Placed
+from stackwheel.scale.real import LIMITS, THIN_MOST, compare_tables, configuration
+from stackwheel.service.config import read_config
+
+
+def entries(count: int, lifecycle: str = IN_SERVICE) -> list[Entry]:
+    return [Entry(f"s-{number}", "10.0.0.1:1", "zone-00", lifecycle) for number in range(count)]
+
+
+def names(count: int, first: int = 0) -> set[str]:
+    return {f"s-{number}" for number in range(first, count)}
+
+
+def test_tables_of_all_ready_servers_are_right() -> None:
+    assert compare_tables(names(3), entries(3)).count() == 0
+    assert compare_tables(set(), []).count() == 0
+
+
+def test_a_line_for_what_is_not_ready_is_wrong() -> None:
+    found = compare_tables(names(3), [*entries(2), Entry("s-2", "10.0.0.1:1", "zone-00", TERMINATING)])
+    assert found.unlisted == ("s-2",) and "not ready" in found.example()
+
+
+def test_a_ready_server_without_a_line_is_missing_in_a_small_cell_only() -> None:
+    assert compare_tables(names(2), entries(3)).unused == ("s-2",)
+    assert compare_tables(names(THIN_MOST + 1, 1), entries(THIN_MOST + 1)).count() == 0
+    assert compare_tables(set(), entries(THIN_MOST + 1)).count() == THIN_MOST + 1
+
+
+def test_the_configuration_is_one_a_planner_starts_with() -> None:
+    placed = Placed(0, DrawnPlanner("planner-00000", "svc-0000", "zone-01"), "", "127.0.0.1:8500")
+    found = configuration(placed, "127.0.0.1:8081", "127.0.0.1:1,127.0.0.1:2", ["zone-00", "zone-01"], 7)
+    read = read_config(found)
+    assert read.absent == () and read.names.zones == ("zone-00", "zone-01") and read.settings.home_zone == 1
+    assert found["limits"] == LIMITS and not read.settings.list_on_request
