--- a/stackwheel/cli/scale.py
+++ b/stackwheel/cli/scale.py
@@ -39,6 +39,13 @@
 @click.option("--planners", type=click.IntRange(0, PLANNERS_MOST), default=20, show_default=True, help="Hollow ones.")
 @click.option("--real-planners", type=click.IntRange(0, 250), default=0, show_default=True, help="Beside them.")
 @click.option("--relays", type=click.IntRange(0, RELAYS_MOST), default=0, show_default=True, help="0: none.")
+@click.option(
+    "--whole-list-planners",
+    type=click.IntRange(0, 50),
+    default=0,
+    show_default=True,
+    help="Real ones that follow the registry itself, to compare with those behind relays.",
+)
 @click.option("--duration", type=click.FloatRange(1, DURATION_MOST), default=10.0, show_default=True, help="Seconds.")
 @click.option("--seed", type=click.IntRange(0), default=0, show_default=True, help="Repeats the draw.")
 @click.option(
@@ -55,6 +62,7 @@
     planners: int,
     real_planners: int,
     relays: int,
+    whole_list_planners: int,
     duration: float,
     seed: int,
     event_rate: float | None,
@@ -66,6 +74,8 @@
         raise click.UsageError(f"--scenario is missing: {', '.join(SCENARIOS)}")
     if planners + real_planners == 0:
         raise click.UsageError("no planner: give --planners or --real-planners")
+    if whole_list_planners and not relays:
+        raise click.UsageError("--whole-list-planners: without --relays all planners hold the whole list")
     if planners + real_planners > PLANNERS_MOST:
         raise click.UsageError(f"{planners + real_planners} planners; {PLANNERS_MOST} are the most")
     if plant and not planners:
@@ -86,6 +96,7 @@
         seed,
         event_rate if event_rate is not None else default_event_rate(servers),
         plant or "",
+        whole_list_planners,
     )
     return made(arguments, as_json)
 
--- a/stackwheel/scale/bounds.py
+++ b/stackwheel/scale/bounds.py
@@ -16,8 +16,8 @@
 HOLLOW_MB = 50.0  # a process, before its planners
 RELAY_MB = 50.0
 REAL_PLANNER_MB = 35.0
-HOLLOW_PLANNER_MB = 0.15  # connection, parser, watch and tasks of one
-ENTRY_MB = 0.002  # one listed server, in the run, the registry, a relay or a hollow process
+HOLLOW_PLANNER_MB = 0.08  # connection, parser, watch and tasks of one; 0.05 as measured, with 50 entries held
+ENTRY_MB = 0.0015  # one listed server, in the run, the registry, a relay or a hollow process; 0.001 in a relay
 HELD_ENTRY_MB = 0.0006  # one entry held by one hollow planner, beside the entry itself that all share
 REAL_ENTRY_MB = 0.01  # one entry at a real planner with its tables
 
--- a/stackwheel/scale/children.py
+++ b/stackwheel/scale/children.py
@@ -26,6 +26,7 @@
     REGISTRY = "registry"
     RELAY = "relay"
     REAL_PLANNER = "real_planner"
+    WHOLE_LIST_PLANNER = "whole_list_planner"  # a real one that follows the registry itself beside relays
     HOLLOW_PLANNER = "hollow_planner"
 
 
--- a/stackwheel/scale/real.py
+++ b/stackwheel/scale/real.py
@@ -131,6 +131,7 @@
     listen: str
     listed: set[str]  # every server that was ever listed, which the proxy accepts
     seed: int
+    role: Role = Role.REAL_PLANNER
     meters: list[Meter] = field(default_factory=list)
     child: Child | None = None
     looking: asyncio.Task[None] | None = None
@@ -150,7 +151,7 @@
     async def start(self, children: Children, folder: Path) -> None:
         """Start the program and wait for its first PONG; then the proxy joins."""
         environment = {VARIABLE: str(self.path(folder)), "STACKWHEEL_OPERATORS": ""}
-        self.child = await children.start_program(Role.REAL_PLANNER, self.placed.planner.name, (), environment)
+        self.child = await children.start_program(self.role, self.placed.planner.name, (), environment)
         async with asyncio.timeout(READY_WITHIN):
             while not await pong(self.listen):
                 await asyncio.sleep(PING_EVERY)
--- a/stackwheel/scale/report.py
+++ b/stackwheel/scale/report.py
@@ -26,6 +26,7 @@
     seed: int
     event_rate: float  # servers a second that drain, leave and return
     plant: str = ""
+    whole_list_planners: int = 0
 
 
 class RoleFigures(msgspec.Struct, frozen=True):
@@ -103,6 +104,7 @@
     registry: RoleFigures
     relay: RoleFigures
     real_planner: RoleFigures
+    whole_list_planner: RoleFigures
     hollow_planner: RoleFigures
     machine: Machine
     bounds: Bounds
--- a/stackwheel/scale/run.py
+++ b/stackwheel/scale/run.py
@@ -10,7 +10,7 @@
 import tempfile
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import TypeVar
 
@@ -43,7 +43,7 @@
 from stackwheel.scale.entries import Entry
 from stackwheel.scale.fleet import Shape, draw_fleet
 from stackwheel.scale.inforce import InForce, measure
-from stackwheel.scale.layout import Placed, peer_address, spread, whole_layout
+from stackwheel.scale.layout import WHOLE, Placed, peer_address, spread, whole_layout
 from stackwheel.scale.peers import SENT_MOST, bytes_per_cycle
 from stackwheel.scale.real import RealDifference, RealPlanner, compare_tables
 from stackwheel.scale.relays import Network, design_plan, relay_layout, start_relays
@@ -110,6 +110,7 @@
         self.layout = relay_layout(self.fleet, self.plan) if self.plan else whole_layout(self.fleet, "")
         self.expected: Estimate
         self.registry: Child
+        self.registry_address = ""
         self.hollow: dict[int, Child] = {}  # the process of each hollow planner
         self.real: dict[int, RealPlanner] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -126,9 +127,15 @@
         held = self.layout.held_entries(self.fleet)
         real = sum(held[number] for number in self.real_numbers)
         arguments = self.arguments
+        whole = arguments.whole_list_planners
         self.expected = bounds.check(
             Size(
-                arguments.servers, arguments.planners, arguments.real_planners, arguments.relays, sum(held) - real, real
+                arguments.servers,
+                arguments.planners,
+                arguments.real_planners + whole,
+                arguments.relays,
+                sum(held) - real,
+                real + whole * arguments.servers,
             )
         )
 
@@ -163,7 +170,7 @@
         self.progress(f"registry with {self.arguments.servers} servers")
         self.registry = await self.children.start_module(Role.REGISTRY, "registry", "stackwheel.scale.registry")
         entries = [Entry(server.name, server.address, server.zone) for server in self.fleet.servers]
-        address = (await self.registry.ask(Load(HOST, entries), Ready)).address
+        address = self.registry_address = (await self.registry.ask(Load(HOST, entries), Ready)).address
         if self.plan is None:
             self.layout = whole_layout(self.fleet, address)
         else:
@@ -209,16 +216,34 @@
     async def start_real(self) -> None:
         """Real planners, a few at a time."""
         gate = asyncio.Semaphore(REAL_START_AT_ONCE)
-        await asyncio.gather(*(self.start_real_one(number, gate) for number in sorted(self.real_numbers)))
+        whole = range(self.arguments.whole_list_planners)
+        await asyncio.gather(
+            *(self.start_real_one(number, gate) for number in sorted(self.real_numbers)),
+            *(self.start_whole_list_one(place, gate) for place in whole),
+        )
 
     async def start_real_one(self, number: int, gate: asyncio.Semaphore) -> None:
         async with gate:
             planner = RealPlanner(
                 self.layout.placed[number], f"{HOST}:{free_port()}", self.listed, self.arguments.seed + number
             )
-            self.real[number] = planner
-            await planner.prepare(self.folder, HOST, sorted(self.fleet.regions))
-            await planner.start(self.children, self.folder)
+            await self.start_prepared(number, planner)
+
+    async def start_whole_list_one(self, place: int, gate: asyncio.Semaphore) -> None:
+        """One more real planner, which follows the registry itself as all do without relays."""
+        async with gate:
+            number = len(self.fleet.planners) + place
+            drawn = replace(self.fleet.planners[place % len(self.fleet.planners)], name=f"planner-whole-{place}")
+            placed = Placed(number, drawn, WHOLE, self.registry_address)
+            await self.start_prepared(
+                number,
+                RealPlanner(placed, f"{HOST}:{free_port()}", self.listed, number, Role.WHOLE_LIST_PLANNER),
+            )
+
+    async def start_prepared(self, number: int, planner: RealPlanner) -> None:
+        self.real[number] = planner
+        await planner.prepare(self.folder, HOST, sorted(self.fleet.regions))
+        await planner.start(self.children, self.folder)
 
     def hollow_processes(self) -> list[Child]:
         """Each once."""
@@ -290,14 +315,22 @@
         now = time.monotonic()
         self.traffic.append((registry, hollow))
         hollow_in, hollow_out = sum(t.bytes_in for t in hollow), sum(t.bytes_out for t in hollow)
-        real_in = sum(planner.bytes_in() for planner in self.real.values())
-        real_out = sum(planner.bytes_out() for planner in self.real.values())
+        real_in, real_out = self.real_bytes(Role.REAL_PLANNER)
+        whole_in, whole_out = self.real_bytes(Role.WHOLE_LIST_PLANNER)
         self.sampler.bytes[Role.REGISTRY].add(registry.bytes_in, registry.bytes_out, now)
         self.sampler.bytes[Role.HOLLOW_PLANNER].add(hollow_in, hollow_out, now)
         self.sampler.bytes[Role.REAL_PLANNER].add(real_in, real_out, now)
+        self.sampler.bytes[Role.WHOLE_LIST_PLANNER].add(whole_in, whole_out, now)
         list_in = hollow_in - sum(t.peer_bytes_in for t in hollow) + real_in
         list_out = hollow_out - sum(t.peer_bytes_out for t in hollow) + real_out
-        self.sampler.bytes[Role.RELAY].add(registry.bytes_out + list_out, registry.bytes_in + list_in, now)
+        self.sampler.bytes[Role.RELAY].add(
+            registry.bytes_out - whole_in + list_out, registry.bytes_in - whole_out + list_in, now
+        )
+
+    def real_bytes(self, role: Role) -> tuple[int, int]:
+        """What the real planners of a role had from discovery so far, and said to it."""
+        planners = [planner for planner in self.real.values() if planner.role is role]
+        return sum(one.bytes_in() for one in planners), sum(one.bytes_out() for one in planners)
 
     async def plant(self) -> None:
         """Lose an entry on purpose, where that was asked for."""
@@ -326,7 +359,7 @@
             *(self.compare_process(child, listed, by_cell, found) for child in self.hollow_processes())
         )
         for planner in self.real.values():
-            due = by_cell[planner.placed.cell]
+            due = by_cell[planner.placed.cell] if planner.placed.cell else listed.entries
             self.add_real(found, planner, compare_tables(planner.lines(), due), len(due))
         return found
 
@@ -363,12 +396,15 @@
             arguments=self.arguments,
             wrong_entries=findings.wrong,
             planners=findings.right,
-            planners_expected=len(self.fleet.planners),
+            planners_expected=len(self.fleet.planners) + self.arguments.whole_list_planners,
             entries_compared=findings.compared,
             in_force_ms=figures_of(in_force),
             registry=self.sampler.figures(Role.REGISTRY, 1, self.duration),
             relay=self.sampler.figures(Role.RELAY, self.arguments.relays, self.duration),
-            real_planner=self.sampler.figures(Role.REAL_PLANNER, len(self.real), self.duration),
+            real_planner=self.sampler.figures(Role.REAL_PLANNER, self.arguments.real_planners, self.duration),
+            whole_list_planner=self.sampler.figures(
+                Role.WHOLE_LIST_PLANNER, self.arguments.whole_list_planners, self.duration
+            ),
             hollow_planner=self.sampler.figures(Role.HOLLOW_PLANNER, len(self.hollow), self.duration),
             machine=machine(),
             bounds=self.bounds(),
--- a/tests/scale/test_run.py
+++ b/tests/scale/test_run.py
@@ -53,12 +53,15 @@
 
 
 def test_planners_behind_relays_end_right_with_their_cells() -> None:
-    done = call("--scenario", "churn", *SMALL, "--relays", "2", "--real-planners", "1", "--json")
+    done = call(
+        "--scenario", "churn", *SMALL, "--relays", "2", "--real-planners", "1", "--whole-list-planners", "1", "--json"
+    )
     found = json.loads(done.stdout.splitlines()[-1])
     assert done.returncode == 0, done.stderr
-    assert found["wrong_entries"] == 0 and found["planners"] == 21 and found["in_force_ms"]["missing"] == 0
-    assert found["cells"]["cells"] > 1 and found["entries_compared"] < 21 * 200
+    assert found["wrong_entries"] == 0 and found["planners"] == 22 and found["in_force_ms"]["missing"] == 0
+    assert found["cells"]["cells"] > 1 and 200 < found["entries_compared"] < 21 * 200
     assert found["relay"]["count"] == 2 and found["relay"]["core"] > 0 and found["relay"]["bytes_out_per_s"] > 0
+    assert found["whole_list_planner"]["bytes_in_per_s"] > found["real_planner"]["bytes_in_per_s"] > 0
     assert found["datagrams"]["computed_per_s"] > 0 and found["datagrams"]["sent_per_s"] > 0
 
 
@@ -81,6 +84,8 @@
         (("--scenario", "churn", "--duration", "0"), "--duration"),
         (("--scenario", "churn", "--planners", "0", "--real-planners", "1", "--plant", "drop-entry"), "--plant"),
         (("--scenario", "churn", "--servers", "48000", "--planners", "15000"), "MB are the most"),
+        (("--scenario", "churn", "--planners", "65536", "--real-planners", "1"), "65537 planners"),
+        (("--scenario", "churn", "--whole-list-planners", "1"), "without --relays"),
         ((), "--scenario"),
     ],
 )
