--- a/stackwheel/cli/scale.py
+++ b/stackwheel/cli/scale.py
@@ -10,6 +10,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from stackwheel.cli.scale_slopes import capacity, capacity_option, slopes
 from stackwheel.scale import report as reports
 from stackwheel.scale.bounds import ScaleError
 from stackwheel.scale.children import Role
@@ -28,10 +29,15 @@
 
 
 @click.group()
+@capacity_option
 def scale() -> None:
     """Run a registry, planners and relays at the fleet's size on this machine, and compare what they hold."""
 
 
+scale.add_command(slopes)
+scale.add_command(capacity)
+
+
 @scale.command("run")
 @click.option("--scenario", type=click.Choice(SCENARIOS), help="What happens; it has to be given.")
 @click.option("--servers", type=click.IntRange(1, SERVERS_MOST), default=1_000, show_default=True)
--- a/stackwheel/cli/scale_slopes.py
+++ b/stackwheel/cli/scale_slopes.py
@@ -26,12 +26,12 @@
 def slopes(out: Path, only: tuple[str, ...], repeats: int, span: float, seed: int, no_direct: bool) -> int:
     """Measure what a real planner costs against each size; takes about seven minutes and up to two cores."""
     from stackwheel.scale import sweep
+    from stackwheel.scale.bench import BenchError
     from stackwheel.scale.choice import time_choices
-    from stackwheel.scale.planner_bench import SweepError
     from stackwheel.scale.points import DIRECT, PLANS
     from stackwheel.scale.slopes import VERSION, Result, write_result
 
-    known = {plan.variable: plan for plan in PLANS}
+    known = {plan.name: plan for plan in PLANS}
     if unknown := [name for name in only if name not in known]:
         raise click.UsageError(f"no sweep {unknown[0]!r}; known are {', '.join(known)}")
     plans = [known[name] for name in only] or list(known.values())
@@ -41,7 +41,7 @@
         measured, points = asyncio.run(until_told_to_stop(work))
     except asyncio.CancelledError:
         raise click.Abort from None
-    except SweepError as error:
+    except BenchError as error:
         click.echo(f"stackwheel: {error}", err=True)
         return 1
     arguments = {"repeats": float(repeats), "span": span, "seed": float(seed)}
--- a/stackwheel/scale/accounting.py
+++ b/stackwheel/scale/accounting.py
@@ -61,16 +61,21 @@
 
 
 class Channel(StrEnum):
-    """What a planner speaks, by who is at the other end."""
+    """What a planner or a relay speaks, by who is at the other end."""
 
     LIST = "list"
     PEERS = "peers"
     STREAMS = "streams"  # of proxies
     COLLECTORS = "collectors"
     PROBES = "probes"
+    WATCHES = "watches"  # of planners at a relay
 
 
-CONTROL = (Channel.LIST, Channel.PEERS)  # what counts against a planner's budget; the rest is the data path
+CONTROL = (
+    Channel.LIST,
+    Channel.PEERS,
+    Channel.WATCHES,
+)  # what counts against a planner's budget; the rest is the data path
 
 
 @dataclass(slots=True)
--- a/stackwheel/scale/planner_bench.py
+++ b/stackwheel/scale/planner_bench.py
@@ -5,35 +5,28 @@
 import asyncio
 import contextlib
 import json
-import os
-import socket
-import sys
 import tempfile
 import time
 from collections.abc import AsyncIterator, Sequence
-from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
 from stackwheel.balance import PEERS_MOST
-from stackwheel.scale.accounting import Channel, TrafficCounters
+from stackwheel.scale.accounting import Channel
+from stackwheel.scale.bench import READY_POLL_SECONDS, READY_SECONDS, Bench, BenchError, address_of, free_port, started
 from stackwheel.scale.design_size import REQUESTS_PER_PROXY
 from stackwheel.scale.points import Point
 from stackwheel.scale.proxies import CYCLE_MS, HollowCollector, HollowProxy, ProxySettings
 from stackwheel.scale.surroundings import HOST, ListFeed, PeerPlanners, ProbedServers
+from stackwheel.service.config import VARIABLE
 from stackwheel.wire.http import split_address
 
 ROUTES = ("read", "write")
 ZONE_LOST_AFTER = 1.5  # s from the span's start
-READY_SECONDS = 20.0  # from the process's start to its first PONG; 0.8 s is usual with 48,000 servers
 SPARE_SOCKETS = 256
 SOCKETS_MOST = 15_000  # of 20,000 descriptors a process
 
 
-class SweepError(RuntimeError):
-    """A planner that did not start, or ended in a run."""
-
-
 def planner_config(point: Point, listen: str, discovery: str, peers: PeerPlanners, seed: int) -> dict[str, object]:
     """ROUTER_CONFIG of the planner under test: number 0 of its tier."""
     own = f"{HOST}:{free_port(datagrams=True)}"
@@ -95,23 +88,13 @@
     }
 
 
-def free_port(datagrams: bool = False) -> int:
-    """A port that nobody holds now."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM if datagrams else socket.SOCK_STREAM) as found:
-        found.bind((HOST, 0))
-        return int(found.getsockname()[1])
-
-
-@dataclass(slots=True)
-class Bench:
-    """One planner's process with everything it speaks to."""
+class PlannerBench(Bench):
+    """One planner's process, with discovery, proxies, collectors, peers and servers that answer probes."""
 
-    point: Point
-    seed: int
-    counters: TrafficCounters = field(default_factory=TrafficCounters)
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
-    proxies: list[HollowProxy] = field(default_factory=list)
-    feed: ListFeed = field(init=False)
+    def __init__(self, point: Point, seed: int) -> None:
+        super().__init__(seed)
+        self.point = point
+        self.proxies: list[HollowProxy] = []
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[asyncio.subprocess.Process]:
@@ -129,7 +112,10 @@
             stack.callback(peers.close)
             await peers.open(self.point.planners - 1)
             config = planner_config(self.point, f"{HOST}:{free_port()}", address_of(discovery), peers, self.seed)
-            process = await stack.enter_async_context(started(config))
+            folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="stackwheel-scale-"))
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps(config))
+            process = await stack.enter_async_context(started((), {VARIABLE: str(path)}))
             await ready(str(config["listen"]), process)
             self.join(str(config["listen"]), names)
             self.keep(peers.run(split_address(str(config["peer_listen"]))))
@@ -150,59 +136,32 @@
             collector = HollowCollector(self.point.zone(place), address, own, reports, Random(random.getrandbits(64)))
             self.keep(collector.run())
 
-    def keep(self, work: object) -> None:
-        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     def cancel(self) -> None:
-        for task in list(self.tasks):
-            task.cancel()
+        super().cancel()
         for proxy in self.proxies:
             proxy.close()
 
-    async def change(self) -> None:
-        """Changes at the point's rate, until cancelled."""
-        while True:
-            await asyncio.sleep(1.0 / self.point.changes)
-            self.feed.change()
-
-    async def lose_zone(self) -> None:
-        """The first zone's servers leave at once, in the middle of the span's first seconds."""
-        await asyncio.sleep(ZONE_LOST_AFTER)
-        self.feed.lose(self.point.zone(0))
-
     def served(self) -> bool:
         return all(proxy.holds_table() for proxy in self.proxies)
 
+    def disturb(self) -> None:
+        if self.point.changes:
+            self.keep(self.change(self.point.changes))
+        if self.point.zone_lost:
+            self.keep(self.lose_zone())
 
-def address_of(server: asyncio.Server) -> str:
-    """Where a server listens."""
-    host, port = server.sockets[0].getsockname()[:2]
-    return f"{host}:{port}"
-
-
-@contextlib.asynccontextmanager
-async def started(config: dict[str, object]) -> AsyncIterator[asyncio.subprocess.Process]:
-    """`python -m stackwheel` with that configuration; killed and waited for at the end."""
-    with tempfile.TemporaryDirectory(prefix="stackwheel-scale-") as folder:
-        path = Path(folder) / "config.json"
-        path.write_text(json.dumps(config))
-        environment = {**os.environ, "ROUTER_CONFIG": str(path), "STACKWHEEL_LOG": "ERROR"}
-        environment.pop("STACKWHEEL_OPERATORS", None)
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "stackwheel", env=environment, stderr=asyncio.subprocess.DEVNULL
-        )
-        try:
-            yield process
-        finally:
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
-            await process.wait()
+    def orders(self) -> int:
+        return sum(proxy.state.orders for proxy in self.proxies)
+
+    async def lose_zone(self) -> None:
+        """The first zone's servers leave at once, some time into the span."""
+        assert self.feed is not None
+        await asyncio.sleep(ZONE_LOST_AFTER)
+        self.feed.lose(self.point.zone(0))
 
 
 async def ready(address: str, process: asyncio.subprocess.Process) -> None:
-    """Wait for the first PONG; SweepError if it does not come."""
+    """Wait for the first PONG; BenchError if it does not come."""
     host, port = split_address(address)
     end = time.monotonic() + READY_SECONDS
     while time.monotonic() < end and process.returncode is None:
@@ -214,5 +173,5 @@
                     return
             finally:
                 writer.transport.abort()
-        await asyncio.sleep(0.02)
-    raise SweepError(f"planner at {address} was not ready within {READY_SECONDS:g} s")
+        await asyncio.sleep(READY_POLL_SECONDS)
+    raise BenchError(f"planner at {address} was not ready within {READY_SECONDS:g} s")
--- a/stackwheel/scale/points.py
+++ b/stackwheel/scale/points.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import asdict, dataclass, replace
 from typing import Any
 
 from stackwheel.scale import design_size as design
 from stackwheel.scale.surroundings import ListEntry
 
+SERVICE_SERVERS = round(design.SERVERS / design.SERVICES)  # of a mean service
+ZONES = design.ZONES
 MEAN_REQUESTS = round(design.REQUESTS / design.SERVICES)  # a second; each is met by one server, and reported there
 
 
@@ -31,6 +33,32 @@
         return f"zone-{number % self.zones:02d}"
 
 
+@dataclass(frozen=True, slots=True)
+class RelayPoint:
+    """The sizes that one relay is measured at: it holds all servers, its watchers are spread over the cells."""
+
+    servers: int = 2_000
+    watchers: int = 200
+    changes: float = 0.0  # of the list, a second
+
+    def cells(self) -> int:
+        """Mean services, a cell each."""
+        return max(1, round(self.servers / SERVICE_SERVERS))
+
+    def entries(self) -> list[ListEntry]:
+        """The list: services and zones in turn."""
+        cells = self.cells()
+        return [
+            ListEntry(f"{cell_name(number % cells)}-{number:08x}", "10.0.0.1:8081", f"zone-{number % ZONES:02d}")
+            for number in range(self.servers)
+        ]
+
+
+def cell_name(number: int) -> str:
+    """Of a cell, and of the one service in it."""
+    return f"svc-{number:04d}"
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """One sweep: which size, which values, the one held out, and what stands meanwhile."""
@@ -38,14 +66,29 @@
     variable: str
     sizes: tuple[int, ...]
     held_out: int
-    base: Point
+    base: Point | RelayPoint
     jobs: int  # points measured side by side: few, as they share the machine
 
-    def points(self, size: int) -> Point:
+    @property
+    def role(self) -> str:
+        """Whose process is measured."""
+        return "planner" if isinstance(self.base, Point) else "relay"
+
+    @property
+    def name(self) -> str:
+        """As the command line has it."""
+        return self.variable if isinstance(self.base, Point) else f"relay-{self.variable}"
+
+    def point(self, size: int) -> Point | RelayPoint:
         """The point at a size of the swept variable."""
         changed: dict[str, Any] = {FIELDS.get(self.variable, self.variable): size}
         return replace(self.base, **changed)
 
+    def fixed(self) -> dict[str, float]:
+        """What stands while the variable is swept."""
+        swept = FIELDS.get(self.variable, self.variable)
+        return {name: float(value) for name, value in asdict(self.base).items() if name != swept}
+
 
 FIELDS = {"list": "servers"}  # sweeps that are named otherwise than the field they change
 
@@ -56,6 +99,9 @@
     Plan("proxies", (8, 16, 32, 64), 128, Point(servers=23), 3),
     Plan("planners", (2, 4, 8, 16), 32, Point(servers=23), 3),
     Plan("changes", (1, 2, 4, 8), 16, Point(servers=256), 3),
+    Plan("watchers", (100, 200, 400, 800), 1_600, RelayPoint(), 2),
+    Plan("servers", (2_000, 4_000, 8_000, 16_000), 32_000, RelayPoint(), 2),
+    Plan("changes", (5, 10, 20, 40), 80, RelayPoint(), 2),
 )
 MEAN_CELL = Point(servers=23, zones=2, proxies=5, planners=7)
 SERVICE_PART = Point(servers=51, zones=2, proxies=5, planners=16, requests=1056)  # 16 planners' part of a large one
--- a/stackwheel/scale/sweep.py
+++ b/stackwheel/scale/sweep.py
@@ -11,9 +11,11 @@
 from itertools import pairwise
 
 from stackwheel.scale.accounting import AccountingError, Channel, ProcessUsage, Traffic, TrafficCounters, read_usage
-from stackwheel.scale.planner_bench import Bench, SweepError
-from stackwheel.scale.points import DIRECT, DIRECT_JOBS, FIELDS, Plan, Point
+from stackwheel.scale.bench import Bench, BenchError
+from stackwheel.scale.planner_bench import PlannerBench
+from stackwheel.scale.points import DIRECT, DIRECT_JOBS, Plan, Point, RelayPoint
 from stackwheel.scale.proxies import until
+from stackwheel.scale.relay_bench import RelayBench
 from stackwheel.scale.slopes import (
     ChannelRates,
     HeldOut,
@@ -42,35 +44,37 @@
     settle: float = SETTLE_SECONDS
 
 
-async def measure(point: Point, timing: Timing, seed: int, size: float) -> Repeat:
-    """One repeat at one point; SweepError if the planner ends meanwhile or the repeat takes far too long."""
+async def measure(point: Point | RelayPoint, timing: Timing, seed: int, size: float) -> Repeat:
+    """One repeat at one point; BenchError if the planner ends meanwhile or the repeat takes far too long."""
     try:
         async with asyncio.timeout(MEASURE_SECONDS + timing.span):
             return await measure_within(point, timing, seed, size)
     except TimeoutError:
-        raise SweepError(f"not measured within {MEASURE_SECONDS + timing.span:g} s: {point}") from None
+        raise BenchError(f"not measured within {MEASURE_SECONDS + timing.span:g} s: {point}") from None
 
 
-async def measure_within(point: Point, timing: Timing, seed: int, size: float) -> Repeat:
-    bench = Bench(point, seed)
+def bench_of(point: Point | RelayPoint, seed: int) -> Bench:
+    """What a point is measured on."""
+    return PlannerBench(point, seed) if isinstance(point, Point) else RelayBench(point, seed)
+
+
+async def measure_within(point: Point | RelayPoint, timing: Timing, seed: int, size: float) -> Repeat:
+    bench = bench_of(point, seed)
     async with bench.running() as process:
         await until(bench.served, TABLES_SECONDS)
         await asyncio.sleep(timing.settle)
         listed = bench.counters[Channel.LIST].bytes_in
-        if point.changes:
-            bench.keep(bench.change())
-        if point.zone_lost:
-            bench.keep(bench.lose_zone())
+        bench.disturb()
         try:
             seconds = await sample(process.pid, bench.counters, timing.span)
         except AccountingError as error:
-            raise SweepError(f"planner ended while it was measured at {point}: {error}") from None
+            raise BenchError(f"ended while it was measured at {point}: {error}") from None
         first, last = seconds[0], seconds[-1]
         span = last.at - first.at
         counted = last.traffic.since(first.traffic)
         peak = highest([usage_between(one, other) for one, other in pairwise(seconds)])
         channels = {channel.value: channel_rates(one, span) for channel, one in counted.channels.items()}
-        load, orders = os.getloadavg()[0], sum(proxy.state.orders for proxy in bench.proxies)
+        load, orders = os.getloadavg()[0], bench.orders()
         return Repeat(size, usage_between(first, last), round(span, 3), peak, channels, round(load, 2), listed, orders)
 
 
@@ -113,7 +117,7 @@
 
 
 async def repeats_of(
-    points: Sequence[tuple[float, Point]],
+    points: Sequence[tuple[float, Point | RelayPoint]],
     timing: Timing,
     repeats: int,
     seed: int,
@@ -123,7 +127,7 @@
     """All repeats of all points, so many side by side, in the order of sizes."""
     turn = asyncio.Semaphore(jobs)
 
-    async def one(size: float, point: Point, repeat: int) -> Repeat:
+    async def one(size: float, point: Point | RelayPoint, repeat: int) -> Repeat:
         async with turn:
             found = await measure(point, timing, seed + repeat, size)
         tell(f"{size:g}, repeat {repeat + 1}: {found.usage.core:.4f} core, {found.usage.rss_mb:.0f} MB")
@@ -134,24 +138,16 @@
 
 async def run_sweep(plan: Plan, timing: Timing, repeats: int, seed: int, tell: Callable[[str], None]) -> Sweep:
     """Measure the sizes, fit, predict the held-out size, and only then measure that."""
-    tell(f"planner against {plan.variable}")
-    points = [(float(size), plan.points(size)) for size in plan.sizes]
+    tell(f"{plan.role} against {plan.variable}")
+    points = [(float(size), plan.point(size)) for size in plan.sizes]
     measured = await repeats_of(points, timing, repeats, seed, plan.jobs, tell)
     fits = fit_all(measured)
     predicted = predict(fits, plan.held_out)
     tell(f"predicted at {plan.held_out}: {predicted['core']:.4f} core, {predicted['rss_mb']:.0f} MB")
-    beyond = [(float(plan.held_out), plan.points(plan.held_out))]
+    beyond = [(float(plan.held_out), plan.point(plan.held_out))]
     found = held_out(predicted, await repeats_of(beyond, timing, repeats, seed, plan.jobs, tell))
     tell(told_error(found))
-    fixed = {key: float(value) for key, value in field_values(plan).items()}
-    return Sweep("planner", plan.variable, fixed, measured, fits, found)
-
-
-def field_values(plan: Plan) -> dict[str, float]:
-    """What stands while a plan's variable is swept."""
-    swept = FIELDS.get(plan.variable, plan.variable)
-    names = ("servers", "zones", "proxies", "planners", "changes")
-    return {name: getattr(plan.base, name) for name in names if name != swept}
+    return Sweep(plan.role, plan.variable, plan.fixed(), measured, fits, found)
 
 
 def told_error(found: HeldOut) -> str:
