--- /dev/null
+++ b/stackwheel/scale/capacity_control.py
@@ -0,0 +1,132 @@
+"""Rows of the capacity model for discovery and the control machines, which run relays."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from stackwheel.scale import design_size as design
+from stackwheel.scale.capacity import (
+    MISSING,
+    NOT_MEASURED,
+    REGISTRY_BUDGET,
+    RELAY,
+    RELAY_BUDGET,
+    Cost,
+    Model,
+    Row,
+)
+
+
+def discovery_rows(model: Model) -> Iterator[Row]:
+    """The registry's side of the list, without cells: every planner watches it."""
+    whole, entry = model.start_bytes("whole list"), model.entry_bytes()
+    largest = model.sizes[0]
+    beats = design.PLANNERS / design.BEAT_SECONDS
+    yield registry_row(
+        "all planners watch, mean",
+        f"{design.PLANNERS:,} watches, {design.LIST_CHANGES:.2f} changes a second",
+        design.PLANNERS * design.LIST_CHANGES * entry + beats * design.BEAT_BYTES,
+        design.PLANNERS * design.LIST_CHANGES + beats,
+    )
+    lost = design.PLANNERS * design.ZONE_SERVERS * entry
+    yield registry_row("all planners watch, zone lost", "in one second", lost, float(design.PLANNERS))
+    region = design.PLANNERS * design.REGION_SERVERS * entry
+    yield registry_row("all planners watch, region lost", "in one second", region, float(design.PLANNERS))
+    healed = design.PLANNERS / design.REGIONS
+    yield registry_row("all planners watch, region healed", f"{healed:.0f} planners ask anew", healed * whole, healed)
+    yield registry_row(
+        "all planners watch, largest service restarted",
+        f"{largest.planners} planners ask anew",
+        largest.planners * whole,
+        float(largest.planners),
+    )
+    relays = design.CONTROL_MACHINES
+    yield registry_row(
+        "17 relays watch, mean",
+        f"{relays} watches",
+        relays * (design.LIST_CHANGES * entry + design.BEAT_BYTES / design.BEAT_SECONDS),
+        relays * (design.LIST_CHANGES + 1 / design.BEAT_SECONDS),
+        RELAY,
+    )
+    yield registry_row(
+        "17 relays watch, zone lost", "in one second", relays * design.ZONE_SERVERS * entry, float(relays), RELAY
+    )
+
+
+def registry_row(
+    case: str, state: str, size: float, messages: float, mechanism: str = f"{MISSING} without relays"
+) -> Row:
+    """What discovery writes."""
+    cost = Cost(control_out=size, messages_out=messages)
+    return Row("discovery", case, state, cost, f"{NOT_MEASURED}: entries' bytes", mechanism, REGISTRY_BUDGET)
+
+
+def control_rows(model: Model) -> Iterator[Row]:
+    """One of the 17 machines as a relay: it holds the whole list and serves its part of the cells."""
+    entry, whole = model.entry_bytes(), model.start_bytes("whole list")
+    machines, watchers = design.CONTROL_MACHINES, design.watchers_of_a_change(model.sizes)
+    watches, cells = design.PLANNERS / machines, sum(one.cells for one in model.sizes)
+    state = f"{design.SERVERS:,} entries, {2 * cells / machines:.0f} of {cells:,} cells, {watches:.0f} watches"
+    yield relay_row(model, "mean", state, watches, design.LIST_CHANGES)
+    more = design.PLANNERS / (machines - 1)
+    yield relay_row(model, "mean, one of 17 lost", f"{more:.0f} watches", more, design.LIST_CHANGES)
+    for case, servers in (("zone lost", design.ZONE_SERVERS), ("region lost", design.REGION_SERVERS)):
+        yield relay_row(model, case, f"{servers:,} entries in one second", watches, float(servers))
+    regional = watches / design.REGIONS
+    part = watchers / design.PLANNERS_PER_SERVER * entry
+    healed = Cost(control_in=whole, control_out=regional * part, messages_out=regional)
+    yield computed(model, "region healed", f"the list read anew, {regional:.0f} planners ask anew", healed)
+    largest = model.sizes[0]
+    each = largest.planners / machines
+    asked = Cost(control_in=0.0, control_out=each * largest.servers / largest.cells * entry, messages_out=each)
+    yield computed(model, "largest service restarted", f"{each:.0f} planners ask anew in one second", asked)
+    yield distributed(watches)
+
+
+def computed(model: Model, case: str, state: str, cost: Cost) -> Row:
+    """A second of one relay, in bytes alone."""
+    return Row("control machine", case, state, cost, f"{NOT_MEASURED}: entries' bytes", RELAY, RELAY_BUDGET)
+
+
+def relay_row(model: Model, case: str, state: str, watches: float, changes: float) -> Row:
+    """One relay: processor and memory by the slopes, each beyond its base added up; bytes by the entries' size."""
+    entry, watchers = model.entry_bytes(), design.watchers_of_a_change(model.sizes)
+    told = changes * watchers / design.CONTROL_MACHINES
+    beats = watches / design.BEAT_SECONDS
+    cost = Cost(
+        core=relay_need(model, "core", watches, changes),
+        memory_mb=relay_need(model, "rss_mb", watches, 0.0),
+        control_in=changes * entry,
+        control_out=told * entry + beats * design.BEAT_BYTES,
+        messages_in=changes,
+        messages_out=told + beats,
+    )
+    sweeps = {"watchers": watches, "servers": float(design.SERVERS), "changes": changes}
+    factor = max(model.result.sweep("relay", name).fits["core"].factor(size) for name, size in sweeps.items())
+    source = "relay sweeps; bytes computed"
+    return Row("control machine", case, state, cost, source, RELAY, RELAY_BUDGET, factor)
+
+
+def relay_need(model: Model, metric: str, watches: float, changes: float) -> float:
+    """A relay's need: at so many watches, and what the whole list and the changes add to the sweep's base."""
+    sweeps = {name: model.result.sweep("relay", name) for name in ("watchers", "servers", "changes")}
+    fits = {name: sweep.fits[metric] for name, sweep in sweeps.items()}
+    held = fits["servers"].at(design.SERVERS) - fits["servers"].at(sweeps["watchers"].fixed["servers"])
+    sizes = [one.size for one in sweeps["changes"].repeats]
+    rise = (fits["changes"].at(max(sizes)) - fits["changes"].at(min(sizes))) / (max(sizes) - min(sizes))
+    return fits["watchers"].at(watches) + max(0.0, held) + max(0.0, rise) * changes
+
+
+def distributed(watches: float) -> Row:
+    """12,000 changes of configuration within the time that they may take, through one machine."""
+    rate = design.CONFIGURATION_CHANGES / design.IN_FORCE_SECONDS
+    size = rate * design.CONFIGURATION_BYTES
+    return Row(
+        "control machine",
+        "12,000 changes of configuration in 5 s",
+        f"{rate:,.0f} a second to {watches:.0f} planners, each its service's",
+        Cost(control_in=size, control_out=size / design.SERVICES * watches),
+        f"{NOT_MEASURED}: {design.CONFIGURATION_BYTES} bytes a change",
+        f"{MISSING}: a file read again on SIGHUP, `service/reload.py` `Reload.run`",
+        RELAY_BUDGET,
+    )
--- a/stackwheel/scale/design_size.py
+++ b/stackwheel/scale/design_size.py
@@ -27,6 +27,8 @@
 CONFIGURATION_BYTES = 1_000  # of one change
 TENANT_BYTES = 100  # of what a proxy has to know of a tenant
 PROBES_A_REQUEST = 0.06  # at most, all planners together (docs/fleet.md)
+LINK_BYTES = 1.25e9  # a second, of one machine: 10 Gbit/s
+RELAY_CORE = 1.0  # a relay is one process with one thread
 BEAT_SECONDS, BEAT_BYTES = 2.0, 6  # the protocol's empty line in a watch; as one chunk
 
 DAY_SECONDS = 86_400.0
--- a/stackwheel/scale/sweep.py
+++ b/stackwheel/scale/sweep.py
@@ -154,7 +154,7 @@
     """Prediction beside measurement, in a line."""
     measured = mean_usage(found.repeats)
     return (
-        f"measured at {found.size:g}: {measured.core:.4f} core ({found.error['core']:+.0%} of the prediction), "
+        f"measured at {found.size:g}: {measured.core:.4f} core ({found.error['core']:+.0%} against the prediction), "
         f"{measured.rss_mb:.0f} MB ({found.error['rss_mb']:+.0%})"
     )
 
