--- /dev/null
+++ b/stackwheel/scale/points.py
@@ -0,0 +1,121 @@
+"""The sizes that a planner is measured at: sweeps of one size each, and whole points as the design has them."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass, replace
+from typing import Any
+
+from stackwheel.scale import design_size as design
+from stackwheel.scale.surroundings import ListEntry
+
+SERVICE_SERVERS = round(design.SERVERS / design.SERVICES)  # of a mean service
+ZONES = design.ZONES
+MEAN_REQUESTS = round(design.REQUESTS / design.SERVICES)  # a second; each is met by one server, and reported there
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """The sizes that one planner is measured at."""
+
+    servers: int = 128
+    zones: int = 1
+    proxies: int = 32
+    planners: int = 1
+    changes: float = 0.0  # of the list, a second
+    zone_lost: bool = False  # all servers of the first zone leave during the span
+    requests: int = MEAN_REQUESTS  # a second that collectors report on: no more servers a cycle can have met one
+
+    def entries(self, probe_address: str) -> list[ListEntry]:
+        """The list: names as in the fleet, zones in turn."""
+        return [ListEntry(f"svc-0001-{number:08x}", probe_address, self.zone(number)) for number in range(self.servers)]
+
+    def zone(self, number: int) -> str:
+        return f"zone-{number % self.zones:02d}"
+
+
+@dataclass(frozen=True, slots=True)
+class RelayPoint:
+    """The sizes that one relay is measured at: it holds all servers, its watchers are spread over the cells."""
+
+    servers: int = 2_000
+    watchers: int = 200
+    changes: float = 0.0  # of the list, a second
+
+    def cells(self) -> int:
+        """Mean services, a cell each."""
+        return max(1, round(self.servers / SERVICE_SERVERS))
+
+    def entries(self) -> list[ListEntry]:
+        """The list: services and zones in turn."""
+        cells = self.cells()
+        return [
+            ListEntry(f"{cell_name(number % cells)}-{number:08x}", "10.0.0.1:8081", f"zone-{number % ZONES:02d}")
+            for number in range(self.servers)
+        ]
+
+
+def cell_name(number: int) -> str:
+    """Of a cell, and of the one service in it."""
+    return f"svc-{number:04d}"
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One sweep: which size, which values, the one held out, and what stands meanwhile."""
+
+    variable: str
+    sizes: tuple[int, ...]
+    held_out: int
+    base: Point | RelayPoint
+    jobs: int  # points measured side by side: few, as they share the machine
+
+    @property
+    def role(self) -> str:
+        """Whose process is measured."""
+        return "planner" if isinstance(self.base, Point) else "relay"
+
+    @property
+    def name(self) -> str:
+        """As the command line has it."""
+        return self.variable if isinstance(self.base, Point) else f"relay-{self.variable}"
+
+    def point(self, size: int) -> Point | RelayPoint:
+        """The point at a size of the swept variable."""
+        changed: dict[str, Any] = {FIELDS.get(self.variable, self.variable): size}
+        return replace(self.base, **changed)
+
+    def fixed(self) -> dict[str, float]:
+        """What stands while the variable is swept."""
+        swept = FIELDS.get(self.variable, self.variable)
+        return {name: float(value) for name, value in asdict(self.base).items() if name != swept}
+
+
+FIELDS = {"list": "servers"}  # sweeps that are named otherwise than the field they change
+
+PLANS = (
+    Plan("servers", (32, 64, 128, 256), 512, Point(), 3),
+    Plan("list", (250, 500, 1_000, 2_000), 4_000, Point(zones=20, proxies=5), 2),
+    Plan("zones", (2, 4, 8, 16), 32, Point(servers=256, proxies=32), 3),
+    Plan("proxies", (8, 16, 32, 64), 128, Point(servers=23), 3),
+    Plan("planners", (2, 4, 8, 16), 32, Point(servers=23), 3),
+    Plan("changes", (1, 2, 4, 8), 16, Point(servers=256), 3),
+    Plan("watchers", (100, 200, 400, 800), 1_600, RelayPoint(), 2),
+    Plan("servers", (2_000, 4_000, 8_000, 16_000), 32_000, RelayPoint(), 2),
+    Plan("changes", (5, 10, 20, 40), 80, RelayPoint(), 2),
+)
+MEAN_CELL = Point(servers=23, zones=2, proxies=5, planners=7)
+SERVICE_PART = Point(servers=51, zones=2, proxies=5, planners=16, requests=1056)  # 16 planners' part of a large one
+LARGEST_CELL = Point(servers=512, zones=2, proxies=44, planners=16, requests=512)  # both limits of the plan file
+WHOLE_LIST = Point(servers=48_000, zones=85, proxies=5)  # a mean service's planner, without cells
+DIRECT = {
+    "mean cell": MEAN_CELL,
+    "mean cell, one request a proxy": replace(MEAN_CELL, proxies=66),
+    "mean cell, zone lost": replace(MEAN_CELL, zone_lost=True),
+    "part of the largest service": SERVICE_PART,
+    "part of the largest service, zone lost": replace(SERVICE_PART, zone_lost=True),
+    "largest cell": LARGEST_CELL,
+    "largest cell, zone lost": replace(LARGEST_CELL, zone_lost=True),
+    "whole list": WHOLE_LIST,
+    "whole list, zone lost": replace(WHOLE_LIST, zone_lost=True),
+}
+DIRECT_JOBS = 2
