--- a/stackwheel/scale/holding.py
+++ b/stackwheel/scale/holding.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 
 from stackwheel.interface import Availability, ListScope, Server, ServerEntry
-from stackwheel.state.ids import Ids
+from stackwheel.state.ids import Ids, digest
 from stackwheel.state.roster import Instance, Listing, Roster
 
 
@@ -58,7 +58,7 @@
 
     def take(self, listing: Listing, now: float) -> list[ServerEntry]:
         """Take a listing in; what it changed here. A server that a whole list leaves out is told as gone."""
-        former = self.entries
+        former = self.concerned(listing)
         told = self.apply(listing, now)
         for server in self.outdated():
             self.forget(server)
@@ -67,6 +67,13 @@
         changed = [entry for server, entry in self.entries.items() if former.get(server) != entry]
         return changed + [gone(entry) for server, entry in former.items() if server not in self.entries]
 
+    def concerned(self, listing: Listing) -> dict[Server, ServerEntry]:
+        """The present entries that a listing may change; the roster changes its own in place."""
+        if listing.whole:
+            return dict(self.entries)
+        named = [digest(one.name) for one in listing.instances]
+        return {server: self.entries[server] for server in named if server in self.entries}
+
     def listed(self) -> dict[str, ListedEntry]:
         """All that is held, by the servers' names."""
         return {
--- a/stackwheel/scale/hollow.py
+++ b/stackwheel/scale/hollow.py
@@ -173,7 +173,7 @@
         while True:
             await asyncio.sleep(SETTLE_EVERY)
             for follower in self.followers.values():
-                if follower.holding.doubted is not None:
+                if follower.holding.doubt is not None:
                     follower.settle(time.monotonic())
             if len(self.shared.entries) > self.sweep_at:
                 self.shared.sweep(follower.holding for follower in self.followers.values())
