Where changes pass a doubted list, the whole list is asked for

A discovery that begins anew and revives something is doubted for 6 s (`Roster.newer`); where its changes reach the old generation before, the doubt was dropped as if the old line went on, and a server that its first list had left out stayed listed for ever. Change: `newer` notes it, the module asks for the whole list once (`lacks_whole`); a whole list that comes by itself will do. Left: such a departure is seen with that answer, not within the grace of its first telling.

--- a/stackwheel/state/module.py
+++ b/stackwheel/state/module.py
@@ -136,6 +136,9 @@
         if (listing := self.roster.settled(self.clock.now())) is not None:
             logger.warning("list {} holds: nothing newer has come", listing.generation)
             events.append(self.roster.apply(listing))
+        if self.roster.lacks_whole():
+            logger.warning("changes passed a list that was doubted: the whole list is asked for")
+            self.outside.fetch_list()
         self.decide([*events, *self.streams.fall_silent(self.clock.now())])
         for server in self.roster.outdated():
             if not self.orders.names(server):
--- a/stackwheel/state/roster.py
+++ b/stackwheel/state/roster.py
@@ -96,6 +96,7 @@
         self.gone: dict[Server, float] = {}  # when each had started, the first to go first; each may return
         self.renewed: dict[Server, None] = {}  # the present ones that had an earlier process under the same id
         self.doubt: Doubt | None = None
+        self.unresolved = False  # changes passed a doubted list: if it had begun anew, who left by it is not known
 
     def apply(self, listing: Listing, now: float = 0.0) -> face.ServerList:
         """Take a listing in; the event that tells the policy of it. Changes cost by what they name, not by the list."""
@@ -137,6 +138,7 @@
         has begun anew, and what it says holds.
         """
         if listing.anew or listing.generation >= self.generation:
+            self.unresolved = not listing.whole and (self.unresolved or self.doubt is not None)
             self.doubt = None
             return listing
         words = [(one, self.word(one)) for one in listing.instances]
@@ -161,6 +163,11 @@
             return None
         return self.doubt.listing()
 
+    def lacks_whole(self) -> bool:
+        """Whether a whole list has to be asked for; true once for each time that there is need."""
+        unresolved, self.unresolved = self.unresolved, False
+        return unresolved
+
     def last_start(self, server: Server, default: float) -> float:
         """When the process last known under that id had started, whether it is here or gone."""
         known = self.entries.get(server)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -102,6 +102,20 @@
     return Stream(proxy, 0, 20.0, fresh, line)
 
 
+def test_the_whole_list_is_asked_for_where_changes_pass_a_doubted_one() -> None:
+    """A discovery that began anew and reached the old generations kept who had left by its first list."""
+    setup = Setup()
+    drains = replace(listing("s-0").instances[0], availability=Availability.DRAINING)
+    setup.turn(Listing(5, False, (drains,)))
+    setup.turn(listing("s-0", generation=1))  # revives s-0 and lacks s-1
+    assert ("fetch",) not in setup.outside.said
+    setup.turn(listing("s-2", whole=False, generation=5))
+    setup.turn()
+    assert setup.outside.said.count(("fetch",)) == 1
+    setup.turn(listing("s-0", "s-2", generation=5))
+    assert set(setup.module.roster.entries) == {digest("s-0"), digest("s-2")}
+
+
 def test_a_batch_is_all_that_came_in_order() -> None:
     setup = Setup()
     line = Wire()
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -71,6 +71,25 @@
     assert kept.ready() == {"b", "c", "f", "g"} and kept.roster.settled(1e9) is None
 
 
+def test_where_changes_pass_a_doubted_list_the_whole_list_is_asked_for_once() -> None:
+    """Discovery began anew without c, and reached the old generations before its list could hold: c stayed listed."""
+    kept = Kept(changes(42, one("b", DRAINING)))
+    assert not kept.roster.lacks_whole()
+    kept.take(whole(1, one("a"), one("b")), now=1000.0)
+    assert not kept.roster.lacks_whole()  # it may still hold by itself
+    kept.take(changes(42, one("d")), now=2000.0)
+    assert kept.ready() == {"a", "c", "d"} and kept.roster.lacks_whole() and not kept.roster.lacks_whole()
+    kept.take(whole(42, one("a"), one("b"), one("d")), now=2100.0)
+    assert kept.ready() == {"a", "b", "d"} and not kept.roster.lacks_whole()
+
+
+@pytest.mark.parametrize("answer", [whole(42, one("a")), whole(7, one("a"), anew=True)])
+def test_a_whole_list_that_comes_by_itself_need_not_be_asked_for(answer: Listing) -> None:
+    kept = Kept(changes(42, one("b", DRAINING)))
+    kept.take(whole(1, one("a"), one("b")), changes(42, one("d")), answer)
+    assert kept.ready() == {"a"} and not kept.roster.lacks_whole()
+
+
 def test_a_discovery_that_began_anew_and_revives_nothing_is_believed_at_once() -> None:
     """Its departures bind from their telling: they may not wait."""
     kept = Kept(changes(42, one("b", DRAINING)))
