--- a/tests/relay/test_listing_server.py
+++ b/tests/relay/test_listing_server.py
@@ -164,6 +164,12 @@
     return {name: one for name, one in held.items() if one.availability is not GONE}
 
 
+async def idle(watch: ListingWatch) -> None:
+    """Until all that was told is written."""
+    while watch.writing or watch.pending or watch.whole_due:
+        await asyncio.sleep(0)
+
+
 async def blocked(watch: ListingWatch) -> None:
     """Until a write of the watch waits for the caller to read."""
     while not (watch.writing and watch.writer.transport.get_write_buffer_size()):
@@ -274,6 +280,8 @@
         await served.server.slots.acquire()  # the whole part that is owed has to wait
         (watch,) = await served.watches(1)
         watch.owe_whole()
+        while watch.mail.is_set():  # until it waits for its turn
+            await asyncio.sleep(0)
         served.take(changes(6, server("a-1", DRAINING)))
         served.server.slots.release()
         assert await watcher.listing() == whole(6, server("a-2"), server("a-1", DRAINING))
@@ -292,10 +300,10 @@
         watcher = await served.watch()
         await watcher.listing()
         (watch,) = await served.watches(1)
-        while watch.writing:
-            await asyncio.sleep(0)
+        await idle(watch)
         served.beat()
         assert await watcher.line() == b""
+        await idle(watch)
         served.cache.contact.heard_at = served.server.now() - timing.SILENCE
         served.beat()
         assert not watch.pending  # nothing was said
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -14,8 +14,10 @@
 import pytest
 from planner import MOST, PlannerProcess, full, run, send, started
 from standins import ROOT, Discovery, config, free_port
+from test_discovery import Scripted
 
 from stackwheel.cells.plan import Cell, Limits, Plan, Relay, encode_plan
+from stackwheel.service.relay import RelayConfig, RelayService, load_serving
 from stackwheel.wire import timing
 from stackwheel.wire.discovery import PATH
 from stackwheel.wire.http import Call, CallFailed, get
@@ -190,6 +192,26 @@
     run(work())
 
 
+def test_an_empty_line_of_the_registry_vouches(tmp_path: Path) -> None:
+    async def work() -> None:
+        registry = await Scripted().start()
+        (tmp_path / "cells.json").write_bytes(encode_plan(plan("s")))
+        serving = load_serving("relay-0", tmp_path / "cells.json")
+        service = RelayService(RelayConfig("relay-0", registry.address, tmp_path / "cells.json"), serving, 100)
+        following = asyncio.create_task(service.upstream.run())
+        watch = await registry.calls.get()
+        watch.line(5, True, "s-1")
+        while service.cache.generation is None:
+            await asyncio.sleep(0)
+        listed_at = service.cache.contact.heard_at
+        watch.tell(b"\n")
+        while service.cache.contact.heard_at == listed_at:
+            await asyncio.sleep(0)
+        following.cancel()
+
+    run(asyncio.wait_for(work(), 15))
+
+
 @pytest.mark.parametrize(
     ("record", "named"),
     [
