--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -14,12 +14,15 @@
 import pytest
 from planner import MOST, PlannerProcess, full, run, send, started
 from standins import ROOT, Discovery, config, free_port
+from test_discovery import Scripted
 
 from stackwheel.cells.plan import Cell, Limits, Plan, Relay, encode_plan
+from stackwheel.service.relay import RelayConfig, RelayService, load_serving
 from stackwheel.wire import timing
 from stackwheel.wire.discovery import PATH
 from stackwheel.wire.http import Call, CallFailed, get
 
+MOST_MS = MOST * 1000.0
 HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
 
 
@@ -138,7 +141,7 @@
         async with relays(tmp_path, registry, found) as (first, _):
             await first.answers(port, 200)
             watch = Call(first.address(port), f"{PATH}?follow=1")
-            assert await watch.open(1000.0, 1000.0) is None
+            assert await watch.open(MOST_MS, MOST_MS) is None
             await registry.shut()
             while isinstance(await watch.chunk(2 * timing.SILENCE), bytes):
                 pass
@@ -148,7 +151,7 @@
             registry.server = await asyncio.start_server(registry.serve, host, int(upstream_port))
             await registry.update("s-0", lifecycle="terminated")
             await first.answers(port, 200)
-            body = await get(first.address(port), PATH, 1000.0, 1000.0)
+            body = await get(first.address(port), PATH, MOST_MS, MOST_MS)
             assert isinstance(body, bytes) and b"s-1" in body and b"s-0" not in body
             assert await first.stop() == 0 and "Traceback" not in await first.log()
 
@@ -162,7 +165,7 @@
         async with relays(tmp_path, registry, found) as (first, second):
             await first.answers(port, 200)
             watch = Call(first.address(port), f"{PATH}?follow=1")
-            assert await watch.open(1000.0, 1000.0) is None and b"s-1" in await watch.chunk(1000.0)
+            assert await watch.open(MOST_MS, MOST_MS) is None and b"s-1" in await watch.chunk(MOST_MS)
             (tmp_path / "cells.json").write_bytes(encode_plan(found)[:200])
             send(first.process, signal.SIGHUP)
             await first.logged("plan not reloaded, the old one holds")
@@ -173,7 +176,7 @@
             send(first.process, signal.SIGHUP)
             await first.logged("plan reloaded: 2 cells")
             for served, name in ((port, b"t-0"), (other, b"s-0")):
-                body = await get(first.address(served), PATH, 1000.0, 1000.0)
+                body = await get(first.address(served), PATH, MOST_MS, MOST_MS)
                 assert (
                     isinstance(body, bytes)
                     and name in body
@@ -190,6 +193,26 @@
     run(work())
 
 
+def test_an_empty_line_of_the_registry_vouches(tmp_path: Path) -> None:
+    async def work() -> None:
+        registry = await Scripted().start()
+        (tmp_path / "cells.json").write_bytes(encode_plan(plan("s")))
+        serving = load_serving("relay-0", tmp_path / "cells.json")
+        service = RelayService(RelayConfig("relay-0", registry.address, tmp_path / "cells.json"), serving, 100)
+        following = asyncio.create_task(service.upstream.run())
+        watch = await registry.calls.get()
+        watch.line(5, True, "s-1")
+        while service.cache.generation is None:
+            await asyncio.sleep(0)
+        listed_at = service.cache.contact.heard_at
+        watch.tell(b"\n")
+        while service.cache.contact.heard_at == listed_at:
+            await asyncio.sleep(0)
+        following.cancel()
+
+    run(asyncio.wait_for(work(), 15))
+
+
 @pytest.mark.parametrize(
     ("record", "named"),
     [
