--- a/stackwheel/cli/trial.py
+++ b/stackwheel/cli/trial.py
@@ -22,6 +22,7 @@
     default_jobs,
     run_chunk,
     run_file_chunk,
+    run_relay_chunk,
     run_seeds,
 )
 from stackwheel.trials.script import Script, ScriptError, encode, load, words
@@ -53,12 +54,15 @@
 
 
 files_flag = click.option("--files", is_flag=True, help="Forwarders are spoken to by files; other scripts are drawn.")
+relays_flag = click.option(
+    "--relays", is_flag=True, help="Two relays stand between discovery and planners; other scripts are drawn."
+)
 
 
-def script_of(text: str, files: bool = False) -> Script:
+def script_of(text: str, files: bool = False, relays: bool = False) -> Script:
     """The script of a seed, or of a file."""
     try:
-        return draw(int(text), files) if text.isdecimal() else load(Path(text))
+        return draw(int(text), files, relays) if text.isdecimal() else load(Path(text))
     except ScriptError as error:
         raise click.UsageError(str(error)) from None
 
@@ -84,12 +88,15 @@
 @click.option("--seeds", type=SEEDS, required=True, help="A:B, from A up to but without B.")
 @click.option("--jobs", type=click.IntRange(1, 256), default=default_jobs, help="Processes; all cores if not given.")
 @files_flag
+@relays_flag
 @click.option("--json", "as_json", is_flag=True, help="End with one JSON object.")
-def run(seeds: range, jobs: int, files: bool, as_json: bool) -> int:
+def run(seeds: range, jobs: int, files: bool, relays: bool, as_json: bool) -> int:
     """Run seeds; exit 1 where a rule was broken."""
     console = Console(stderr=as_json)
     summary, began, stopped = Summary(), time.perf_counter(), False
-    results = run_seeds(seeds, jobs, run_file_chunk if files else run_chunk)
+    if files and relays:
+        raise click.UsageError("--files and --relays are drawn apart; give one of them")
+    results = run_seeds(seeds, jobs, run_file_chunk if files else run_relay_chunk if relays else run_chunk)
     with progress(console, as_json) as bar:
         task = bar.add_task("seeds", total=len(seeds))
         try:
@@ -132,10 +139,11 @@
 @click.option("--trace", is_flag=True, help="Print what happens as it does.")
 @click.option("--defect", type=click.Choice([d.name for d in ALL_DEFECTS]), help="With a deliberate defect planted.")
 @files_flag
+@relays_flag
 @click.option("--json", "as_json", is_flag=True, help="End with one JSON object.")
-def replay(what: str, trace: bool, defect: str | None, files: bool, as_json: bool) -> int:
+def replay(what: str, trace: bool, defect: str | None, files: bool, relays: bool, as_json: bool) -> int:
     """Run one seed or script file again, step by step the same."""
-    script = script_of(what, files)
+    script = script_of(what, files, relays)
     with planted(named(defect)):
         found = run_script(script, trace=click.echo if trace else None)
     if as_json:
@@ -174,9 +182,10 @@
 @click.option("--runs", type=click.IntRange(1, 100_000), default=RUNS_MOST, show_default=True, help="Trials at most.")
 @click.option("--defect", type=click.Choice([d.name for d in ALL_DEFECTS]), help="With a deliberate defect planted.")
 @files_flag
-def shrink(what: str, out: Path, rule: str | None, runs: int, defect: str | None, files: bool) -> int:
+@relays_flag
+def shrink(what: str, out: Path, rule: str | None, runs: int, defect: str | None, files: bool, relays: bool) -> int:
     """Find the smallest script that still breaks the same rule, and save it."""
-    script = script_of(what, files)
+    script = script_of(what, files, relays)
     with planted(named(defect)):
         verdicts = run_script(script).verdicts
         wanted = [v for v in verdicts if rule is None or v.rule is Rule[rule.upper()]]
@@ -196,10 +205,11 @@
 @trial.command()
 @click.argument("what", metavar="SEED|FILE")
 @files_flag
+@relays_flag
 @click.option("--json", "as_json", is_flag=True, help="The script itself, as a file would hold it.")
-def show(what: str, files: bool, as_json: bool) -> None:
+def show(what: str, files: bool, relays: bool, as_json: bool) -> None:
     """Tell a seed's script in words."""
-    script = script_of(what, files)
+    script = script_of(what, files, relays)
     click.echo(encode(script).decode().rstrip() if as_json else "\n".join(words(script)))
 
 
--- a/stackwheel/rules/verdicts.py
+++ b/stackwheel/rules/verdicts.py
@@ -26,6 +26,8 @@
     UPRIGHT = "no task dies with an exception"
     GENUINE = "only whole and genuine files are used, none older than the last"
     PROMPT = "a final answer is not held back"
+    PART = "a planner holds its part of the registry's list"
+    VOUCHED = "a relay vouches only while it hears the registry"
 
 
 @dataclass(frozen=True, slots=True)
--- a/stackwheel/service/relay.py
+++ b/stackwheel/service/relay.py
@@ -6,6 +6,7 @@
 import os
 import resource
 import signal
+import socket
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -24,7 +25,7 @@
 from stackwheel.state.roster import STALE_MOST, Listing
 from stackwheel.wire import timing
 from stackwheel.wire.discovery import Discovery
-from stackwheel.wire.listing_server import ListingServer, whole_answers_most
+from stackwheel.wire.listing_server import ListingServer, stand_open, whole_answers_most
 
 CONNECTIONS_MOST = 20_000  # descriptors that one process may hold, whatever the system would allow
 
@@ -76,9 +77,14 @@
         plan = load_plan(path)
     except CellPlanError as error:
         raise RelayError(str(error)) from None
+    return serving_of(name, plan, str(path))
+
+
+def serving_of(name: str, plan: Plan, source: str) -> Serving:
+    """RelayError where the plan, which stands in `source`, does not name the relay."""
     relay = next((relay for relay in plan.relays if relay.name == name), None)
     if relay is None:
-        raise RelayError(f"{path}: relays: none is named {name!r}, as relay.name says")
+        raise RelayError(f"{source}: relays: none is named {name!r}, as relay.name says")
     index = CellIndex(plan)
 
     def locate(instance: str, zone: str) -> str | None:
@@ -89,13 +95,37 @@
     return Serving(plan, locate, {f"{relay.host}:{cell.port}": cell.name for cell in served})
 
 
+def unblock_reload() -> None:
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+
+
+@dataclass(frozen=True, slots=True)
+class RelaySurroundings:
+    """Listeners, plan and signals as the system gives them; a trial hands in its own."""
+
+    listen_at: Callable[[str], socket.socket] = stand_open
+    load: Callable[[str, Path], Serving] = load_serving
+    signals_on: Callable[[], None] = unblock_reload  # once signals find somebody who hears them
+
+
+PROCESS = RelaySurroundings()
+
+
 class RelayService:
     """One relay's parts, put together and not yet started."""
 
-    def __init__(self, config: RelayConfig, serving: Serving, connections: int) -> None:
-        self.config, self.serving = config, serving
+    def __init__(
+        self,
+        config: RelayConfig,
+        serving: Serving,
+        connections: int,
+        around: RelaySurroundings = PROCESS,
+    ) -> None:
+        self.config, self.serving, self.around = config, serving, around
         self.cache = ListingCache(serving.locate, serving.cells, timing.SILENCE, timing.BEAT)
-        self.server = ListingServer(self.cache, whole_answers_most(serving.plan.limits.servers), connections)
+        self.server = ListingServer(
+            self.cache, whole_answers_most(serving.plan.limits.servers), connections, around.listen_at
+        )
         self.upstream = Discovery(
             config.upstream,
             0,
@@ -118,7 +148,7 @@
     async def run(self) -> None:
         """Serve until cancelled; OSError if an address can't be had."""
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload_asked.set)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        self.around.signals_on()
         await self.server.listen(self.serving.addresses)
         logger.info("ready: {} cells, upstream {}", len(self.serving.addresses), self.config.upstream)
         async with asyncio.TaskGroup() as tasks:
@@ -135,7 +165,7 @@
     async def reload(self) -> None:
         """Serve by the plan as it is now; one that can't be used is a line in the log, and the old one holds."""
         try:
-            serving = load_serving(self.config.name, self.config.plan)
+            serving = self.around.load(self.config.name, self.config.plan)
             await self.server.listen(serving.addresses)
         except (RelayError, OSError) as error:
             logger.error("plan not reloaded, the old one holds: {}", error)
--- a/stackwheel/trials/discovery.py
+++ b/stackwheel/trials/discovery.py
@@ -55,10 +55,12 @@
         self.written = self.taken = 0  # bytes of the answer
         self.news: deque[News] = deque()
         self.planner: int | None = None
+        self.caller = ""  # the machine
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
         self.planner = self.discovery.planner_of(transport.far.machine)
+        self.caller = transport.far.machine.name
         self.discovery.calls[self] = None
 
     def data_received(self, data: bytes) -> None:
@@ -127,6 +129,8 @@
         self.free_at = 0.0
         self.trouble = ""  # refuse, 503, silence or late
         self.late = 0.0
+        self.late_for: dict[str, float] = {}  # by machine: changes are told to it so late, empty lines in time
+        self.unreadable: dict[str, None] = {}  # servers whose entries nobody can read
         self.open()
         self.beat()
 
@@ -183,6 +187,15 @@
 
     def spread(self, records: tuple[Record, ...], generation: int) -> None:
         for call in [call for call in self.calls if call.watching]:
+            late = self.late_for.get(call.caller, 0.0) if self.late_for else 0.0
+            if late:
+                self.loop.at(self.loop.now + late, self.machine, self.tell_late, call, records, generation)
+            else:
+                call.tell(records, False, generation)
+
+    @staticmethod
+    def tell_late(call: Call, records: tuple[Record, ...], generation: int) -> None:
+        if call.watching:
             call.tell(records, False, generation)
 
     def tell_older(self, after: float) -> None:
@@ -254,7 +267,7 @@
                     "machineType": f"kind-{r.kind}",
                     "cell": 0,
                     "lifecycle": LIFECYCLES[r.state],
-                    "weight": 1.0,
+                    "weight": 1.0 if r.name not in self.unreadable else "unreadable",
                     "startedAtMs": r.started,
                 }
                 for r in records
--- a/stackwheel/trials/draw.py
+++ b/stackwheel/trials/draw.py
@@ -90,6 +90,10 @@
             return tuple(f"proxy-{n}" for n in s.members(found, self.shape, "proxy")) or ("proxy-0",)
         return found
 
+    def relays(self) -> s.Names:
+        """One of the two more often than both."""
+        return ("relays",) if self.chance.random() < 0.2 else (f"relay-{self.chance.randrange(self.shape.relays)}",)
+
     def planners(self) -> s.Names:
         everyone = self.chance.random() < 0.15
         return ("planners",) if everyone else self.some("planner", self.shape.planners, 0.5)
@@ -202,15 +206,46 @@
 )
 
 
-def draw(seed: int, files: bool = False) -> s.Script:
-    """The script of a seed: the same one everywhere, always; with files in the place of streams, if so asked."""
-    chance = random.Random(f"script {seed}{' files' if files else ''}")
+def relay_cut(d: Drawing) -> s.Fault:
+    """Relays lose the registry, planners, or each of both."""
+    others: tuple[s.Names, ...] = (("discovery",), d.planners(), ("discovery", "planners"))
+    source, target = d.relays(), d.chance.choice(others)
+    if d.chance.random() < 0.5:
+        source, target = target, source
+    return s.Cut(d.when(), source, target, d.time(1.0, 17.0), d.chance.random() < 0.3)
+
+
+def relay_stall(d: Drawing) -> s.Fault:
+    if d.chance.random() < 0.4:
+        return s.Stall(d.when(), d.relays(), d.time(2.0, 10.0))
+    return s.Stall(d.when(), d.relays(), d.time(0.3, 1.9), d.chance.randint(2, 6), d.time(2.0, 4.0))
+
+
+RELAY_KINDS: tuple[tuple[Callable[[Drawing], s.Fault], float], ...] = (
+    (lambda d: s.Kill(d.when(), d.relays(), d.time(0.1, 9.0), d.chance.random() < 0.7), 8),
+    (relay_cut, 10),
+    (relay_stall, 5),
+    (lambda d: s.Lag(d.when(), d.relays(), d.time(2.0, 12.0), d.time(0.2, 5.0)), 7),
+    (lambda d: s.Older(d.when(), d.time(0.05, 8.0)), 3),
+    (lambda d: s.Renumber(d.when()), 3),
+    (lambda d: s.Reload(d.when(), ("planners",)), 2),
+    (discovery, 4),
+    (lambda d: s.Drain(d.when(), d.servers(0.4), d.time(2.0, 6.0), d.time(1.0, 6.0) * (d.chance.random() < 0.5)), 8),
+)
+
+
+def draw(seed: int, files: bool = False, relays: bool = False) -> s.Script:
+    """The script of a seed: the same one everywhere, always; with files in the place of streams, or relays between
+    discovery and planners, if so asked."""
+    chance = random.Random(f"script {seed}{' files' if files else ''}{' relays' if relays else ''}")
     shape = draw_shape(chance)
     if files:
         shape = msgspec.structs.replace(shape, files=True)
+    if relays:
+        shape = msgspec.structs.replace(shape, relays=2)
     span = round(chance.uniform(*SPAN), 1)
     drawing = Drawing(chance, shape, span)
-    table = KINDS + FILE_KINDS if files else KINDS
+    table = KINDS + (FILE_KINDS if files else ()) + (RELAY_KINDS if relays else ())
     kinds = [make for make, _ in table]
     weights = [weight for _, weight in table]
     chosen = chance.choices(kinds, weights, k=chance.randint(1, KINDS_MOST))
--- a/stackwheel/trials/events.py
+++ b/stackwheel/trials/events.py
@@ -15,6 +15,7 @@
 from stackwheel.trials.servers import Server
 
 if TYPE_CHECKING:
+    from stackwheel.trials.relays import RelayHost
     from stackwheel.trials.world import World
 
 NOISE = {
@@ -56,6 +57,16 @@
 def _(fault: s.Kill, world: World) -> None:
     for number in s.members(fault.planners, world.shape, "planner"):
         kill_planner(world, number, fault.back, fault.sign)
+    for relay in relays_of(world, fault.planners):
+        if relay.running:
+            relay.kill(fault.sign)
+            soon(world, max(0.01, fault.back), relay.start)
+
+
+def relays_of(world: World, names: s.Names) -> list[RelayHost]:
+    if world.relays is None:
+        return []
+    return [world.relays.hosts[n] for n in s.members(names, world.shape, "relay")]
 
 
 def kill_planner(world: World, number: int, back: float, sign: bool = True) -> None:
@@ -96,6 +107,10 @@
             world.loop.stand_still(proxy.machine, fault.deaf)
             world.checker.hold_off_proxy(proxy.number, until)
             soon(world, span, wake_proxy, world, proxy, proxy.machine, proxy.mind)
+    for relay in relays_of(world, who):
+        if relay.running and not relay.machine.still:
+            world.loop.stand_still(relay.machine, True)
+            soon(world, span, world.loop.stand_still, relay.machine, False)
 
 
 def wake_proxy(world: World, proxy: Proxy, machine: Machine, mind: Machine) -> None:
@@ -264,6 +279,14 @@
             world.reachable_since[host.number] = world.loop.now
 
 
+@happen.register(s.Lag)
+def _(fault: s.Lag, world: World) -> None:
+    late = world.discovery.late_for
+    for relay in relays_of(world, fault.who):
+        late[relay.machine.name] = fault.late
+        soon(world, fault.span, late.pop, relay.machine.name, None)
+
+
 @happen.register(s.Older)
 def _(fault: s.Older, world: World) -> None:
     world.discovery.tell_older(fault.after)
@@ -271,8 +294,11 @@
 
 @happen.register(s.Reload)
 def _(fault: s.Reload, world: World) -> None:
-    host, port = world.discovery.address
-    world.discovery.move((host, port + 1), fault.close)
+    if world.relays is not None:
+        world.relays.move()
+    else:
+        host, port = world.discovery.address
+        world.discovery.move((host, port + 1), fault.close)
     for number in s.members(fault.planners, world.shape, "planner"):
         planner = world.hosts[number]
         if planner.running:
--- a/stackwheel/trials/loop.py
+++ b/stackwheel/trials/loop.py
@@ -253,6 +253,17 @@
         made: tuple[Any, Any] = await opened
         return made
 
+    async def create_server(  # type: ignore[override]
+        self,
+        protocol_factory: Callable[[], Any],
+        host: str | None = None,
+        port: int | None = None,
+        *,
+        sock: Any = None,
+        **_: object,
+    ) -> Any:
+        return sock.serve(protocol_factory)
+
     async def create_datagram_endpoint(  # type: ignore[override]
         self,
         protocol_factory: Callable[[], Any],
--- a/stackwheel/trials/network.py
+++ b/stackwheel/trials/network.py
@@ -73,6 +73,7 @@
         self.writing_paused = False  # at the other end, for this one's sake
         self.dropped = False
         self.swallow = False  # half open: nothing written to this end arrives any more
+        self.high, self.low = HIGH, LOW  # of the buffer for writes at this end
 
     def attend(self, protocol: Any) -> tuple[Transport, Any]:
         """Give the end of an accepted connection its protocol."""
@@ -105,13 +106,15 @@
             self.take(self.waiting.popleft())
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
-        pass  # the marks are the module's
+        """Only the mark at 0 is heard, and means that each write waits until the kernel has taken it all."""
+        if high == 0:
+            self.high = self.low = 0
 
     def get_write_buffer_size(self) -> int:
-        return max(0, self.far.unread - WINDOW)
+        return max(0, self.far.unread - self.network.window)
 
     def get_write_buffer_limits(self) -> tuple[int, int]:
-        return LOW, HIGH
+        return self.low, self.high
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         if not self.closing and data:
@@ -175,7 +178,7 @@
                 self.abort()
             return
         self.unread -= len(piece)
-        if self.writing_paused and self.unread - WINDOW <= LOW:
+        if self.writing_paused and self.unread - self.network.window <= self.far.low:
             self.writing_paused = False
             self.network.soon(self.far, self.far.protocol.resume_writing)
         if not self.closing:
@@ -188,6 +191,7 @@
 
     def __init__(self, machine: Machine, loop: VirtualLoop, make: Callable[[], Answers] | None = None) -> None:
         self.machine, self.loop, self.make = machine, loop, make
+        self.close: Callable[[], None] = lambda: None
         self.queue: deque[Transport] = deque()
         self.waiter: asyncio.Future[None] | None = None
 
@@ -199,6 +203,11 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
 
+    def serve(self, make: Callable[[], Answers]) -> Listener:
+        """Be an asyncio server, as far as one that is served by tasks is asked for."""
+        self.make = make
+        return self
+
     async def take(self) -> tuple[Transport, Address]:
         while not self.queue:
             self.waiter = self.loop.create_future()
@@ -231,6 +240,7 @@
     def __init__(self, loop: VirtualLoop, chance: random.Random, latency: Callable[[Machine, Machine], float]) -> None:
         self.loop, self.chance, self.latency = loop, chance, latency
         self.now = Conditions()
+        self.window = WINDOW
         self.listeners: dict[Address, Listener] = {}
         self.datagrams: dict[Address, tuple[Machine, Any]] = {}
         self.groups: dict[Address, tuple[Address, ...]] = {}
@@ -295,8 +305,14 @@
         if address in self.listeners:
             raise OSError(f"{address[0]}:{address[1]} is taken")
         self.listeners[address] = listener = Listener(machine, self.loop, make)
+        listener.close = lambda: self.shut(address, listener)
         return listener
 
+    def shut(self, address: Address, listener: Listener) -> None:
+        """Accept nothing more; what is open stays so."""
+        if self.listeners.get(address) is listener:
+            del self.listeners[address]
+
     def dial(
         self, machine: Machine, address: Address, protocol: Any, opened: asyncio.Future[Any] | None = None
     ) -> None:
@@ -377,7 +393,7 @@
         self.wrote(end, data)
         far = end.far
         far.unread += len(data)
-        if not far.writing_paused and far.unread - WINDOW > HIGH:
+        if not far.writing_paused and far.unread - self.window > end.high:
             far.writing_paused = True
             end.protocol.pause_writing()
         if self.now.pieces and len(data) > 1 and self.chance.random() < self.now.pieces:
--- a/stackwheel/trials/planners.py
+++ b/stackwheel/trials/planners.py
@@ -93,7 +93,7 @@
         self.service: Service | None = None
         self.desk: FileDesk | None = None
         self.lives = 0
-        self.discovery = world.discovery.address
+        self.discovery = world.discovery_of(number)
 
     @property
     def running(self) -> bool:
@@ -105,15 +105,13 @@
         return {
             "name": f"planner-{self.number}",
             "listen": f"{self.host}:8081",
-            "discovery": "{}:{}".format(*self.discovery),
+            "discovery": self.discovery,
             "seed": f"{self.world.script.seed * 1000 + self.lives * 16 + self.number:x}",
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 1024},
             "peer_listen": f"{self.host}:7946",
             "peers": peers,
             "peers_all": "10.3.255.1:7946",
-            "known": world.discovery.document(
-                tuple(world.discovery.records.values()), True, world.discovery.generation
-            ),
+            "known": world.discovery.document(tuple(world.records().values()), True, world.discovery.generation),
             "settings": settings_document(world, self.number),
         }
 
@@ -132,7 +130,7 @@
         world.network.settle(self.host, self.machine)
         world.network.return_of(old)
         self.lives += 1
-        self.discovery = world.discovery.address
+        self.discovery = world.discovery_of(self.number)
         config = self.load()
         assert not isinstance(config, ConfigError), config.reason
         loop = world.loop
@@ -161,7 +159,7 @@
 
     def reload(self) -> None:
         """The configuration names where discovery is now; SIGHUP says so."""
-        self.discovery = self.world.discovery.address
+        self.discovery = self.world.discovery_of(self.number)
         self.world.loop.signal(self.machine, signal.SIGHUP)
 
     # what can be seen
--- /dev/null
+++ b/stackwheel/trials/relay_views.py
@@ -0,0 +1,177 @@
+"""What planners have been told through relays, as the network shows it, and whether they hold it at the end."""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+from stackwheel.cells.assignment import service_of
+from stackwheel.interface import Availability
+from stackwheel.rules.verdicts import TOLD_AT_LAST, Rule
+from stackwheel.trials.discovery import LIFECYCLES, Record
+from stackwheel.trials.network import Transport
+
+if TYPE_CHECKING:
+    from stackwheel.trials.planners import PlannerHost
+    from stackwheel.trials.relays import RelayHost
+    from stackwheel.trials.world import World
+
+STATES = {word: state for state, word in LIFECYCLES.items()}
+ORDER = {Availability.READY: 0, Availability.DRAINING: 1, Availability.GONE: 2}  # a process never goes back
+LISTING = b'{"generation"'
+Ways = Mapping[tuple[int, int], tuple[float, int, int]]
+
+
+def ways_open_since(ways: Ways, planner: int) -> float | None:
+    """Since when one and the same relay has led from discovery to a planner, in s; None where none does."""
+    return min((since for (_, to), (since, _, _) in ways.items() if to == planner), default=None)
+
+
+class Reading:
+    """One connection from a relay to a planner: what has been told on it."""
+
+    def __init__(self) -> None:
+        self.half = b""
+        self.generation = -1
+        self.known: dict[str, tuple[float, int]] = {}  # start of the process, and how far it has come
+
+    def lines(self, data: bytes) -> list[dict[str, Any]]:
+        """The listings that have come whole."""
+        *lines, self.half = (self.half + data).split(b"\n")
+        return [json.loads(line) for line in lines if line.startswith(LISTING)]
+
+
+class RelayViews:
+    """Feeds the checker with what relays told planners, and looks at what may not be told at all."""
+
+    def __init__(self, world: World, cell: str) -> None:
+        self.world, self.cell = world, cell
+        self.readings: dict[Transport, Reading] = {}
+        self.pending: dict[int, deque[tuple[float, tuple[Record, ...]]]] = {}  # by planner: written when (s), what
+
+    def break_part(self, detail: str, planner: int | None, server: str | None = None) -> None:
+        self.world.checker.break_rule(self.world.ms(), Rule.PART, detail, planner, None, server)
+
+    # what counts as told, whether it came or not
+
+    def planner_up(self, planner: int) -> None:
+        """It begins with the list as it is now."""
+        self.pending[planner] = deque()
+
+    def changed(self, records: Sequence[Record]) -> None:
+        for waiting in self.pending.values():
+            waiting.append((self.world.loop.now, tuple(records)))
+
+    def pass_time(self, planner: int, open_since: float | None) -> None:
+        """A change counts as told 6 s after it was written, where a way has been open for as long as a planner may
+        take to ask."""
+        waiting = self.pending.get(planner)
+        if not waiting or open_since is None or planner not in self.world.checker.planners:
+            return
+        now = self.world.loop.now
+        settled = open_since + self.world.shape.ask_within / 1000.0
+        while waiting and now >= max(waiting[0][0] + TOLD_AT_LAST / 1000.0, settled):
+            for record in waiting.popleft()[1]:
+                self.tell(planner, record)
+
+    def tell(self, planner: int, record: Record) -> None:
+        """What the registry has said since of the same server counts in the place of it."""
+        present = self.world.discovery.records.get(record.name)
+        away = record.state is not Availability.READY
+        if present is record or (away and (present is None or present.state is not Availability.READY)):
+            self.world.checker.tell(planner, self.world.ms(), record.name, self.world.listed(record))
+
+    # what came
+
+    def taken(self, planner: int, end: Transport, data: bytes) -> None:
+        """A planner has taken bytes of a relay's answer."""
+        if len(self.readings) > 256:
+            self.readings = {one: reading for one, reading in self.readings.items() if not one.lost}
+        reading = self.readings.setdefault(end, Reading())
+        for listing in reading.lines(data):
+            self.read(planner, reading, listing)
+
+    def read(self, planner: int, reading: Reading, listing: dict[str, Any]) -> None:
+        generation, whole = listing["generation"], listing["reset"]
+        if not whole and generation < reading.generation:
+            self.break_part(f"told changes of {generation} after {reading.generation}", planner)
+        reading.generation = generation
+        named: dict[str, None] = {}
+        for entry in listing["instances"]:
+            name = entry.get("instanceId", "")
+            if name and name in named:
+                self.break_part(f"{name} stands twice in list {generation}", planner, name)
+            named[name] = None
+            if "lifecycle" in entry:
+                self.read_entry(planner, reading, entry)
+        if whole and "" not in named and planner in self.world.checker.planners:
+            for name in [name for name in self.world.checker.planners[planner].listed if name not in named]:
+                self.told_state(planner, name, Availability.GONE, None)
+
+    def read_entry(self, planner: int, reading: Reading, entry: dict[str, Any]) -> None:
+        name, state, started = entry["instanceId"], STATES[entry["lifecycle"]], float(entry["startedAtMs"])
+        if service_of(name) != self.cell:
+            self.break_part(f"told of {name} of another cell", planner, name)
+            return
+        step = started, ORDER[state]
+        former = reading.known.get(name, step)
+        if step < former:
+            self.break_part(f"{name} goes back from {former} to {step}", planner, name)
+        reading.known[name] = step
+        self.told_state(planner, name, state, started)
+
+    def told_state(self, planner: int, name: str, state: Availability, started: float | None) -> None:
+        """An entry counts as far as it is the registry's word: what is older obliges nobody."""
+        checker = self.world.checker
+        if planner not in checker.planners:
+            return
+        present = self.world.discovery.records.get(name)
+        if state is Availability.READY:
+            if present is None or present.state is not state or present.started != started:
+                return
+        elif present is not None and (present.state is Availability.READY or ORDER[state] > ORDER[present.state]):
+            return
+        known = checker.planners[planner].listed.get(name)
+        if present is not None:
+            checker.tell(planner, self.world.ms(), name, self.world.listed(replace(present, state=state)))
+        elif known is not None:
+            checker.tell(planner, self.world.ms(), name, replace(known, availability=state))
+
+    # the end
+
+    def compare_all(self, part: Mapping[str, Record], relays: Sequence[RelayHost]) -> None:
+        """Entry by entry: each planner and each relay against the registry."""
+        for planner in self.world.hosts:
+            self.compare(part, self.held_by(planner), planner.number, str(planner.machine))
+        for relay in relays:
+            assert relay.service is not None
+            held = {one.name: (one.availability, one.started) for one in relay.service.cache.known.values()}
+            everything = {r.name: (r.state, r.started) for r in self.world.discovery.records.values()}
+            for name in sorted(name for name in {*held, *everything} if held.get(name) != everything.get(name)):
+                self.break_part(
+                    f"{relay.machine} holds {held.get(name)}, the registry {everything.get(name)}", None, name
+                )
+
+    def held_by(self, planner: PlannerHost) -> dict[str, tuple[object, ...]]:
+        if planner.service is None:
+            return {}
+        roster = planner.service.roster
+        return {
+            roster.ids.name(server) or str(server): (
+                entry.availability,
+                entry.started,
+                entry.zone,
+                entry.kind,
+                entry.size,
+                roster.addresses.get(server),
+            )
+            for server, entry in roster.entries.items()
+        }
+
+    def compare(self, part: Mapping[str, Record], held: Mapping[str, object], planner: int, who: str) -> None:
+        wanted = {r.name: (r.state, r.started, r.zone, r.kind, 1.0, r.host) for r in part.values()}
+        for name in sorted(name for name in {*held, *wanted} if held.get(name) != wanted.get(name)):
+            self.break_part(f"{who} holds {held.get(name)}, the registry {wanted.get(name)}", planner, name)
--- a/stackwheel/trials/runner.py
+++ b/stackwheel/trials/runner.py
@@ -76,8 +76,8 @@
         }
 
 
-def run_seed(seed: int, files: bool = False) -> SeedResult:
-    return run_one(draw(seed, files))
+def run_seed(seed: int, files: bool = False, relays: bool = False) -> SeedResult:
+    return run_one(draw(seed, files, relays))
 
 
 def run_one(script: Script) -> SeedResult:
@@ -103,7 +103,11 @@
 
 
 def run_file_chunk(seeds: Sequence[int]) -> list[SeedResult]:
-    return [run_seed(seed, True) for seed in seeds]
+    return [run_seed(seed, files=True) for seed in seeds]
+
+
+def run_relay_chunk(seeds: Sequence[int]) -> list[SeedResult]:
+    return [run_seed(seed, relays=True) for seed in seeds]
 
 
 def leave_interrupts() -> None:
--- a/stackwheel/trials/script.py
+++ b/stackwheel/trials/script.py
@@ -1,8 +1,8 @@
 """Scripts of a trial: the shape of a deployment and what happens when, to whom. Typed, readable, JSON.
 
 Times are seconds of virtual time, shares run from 0 to 1. Machines are named `planner-0`, `proxy-3`,
-`server-5`, `discovery`, `collector-1` (of a zone); `zone-1` names all in it, `planners`, `proxies` and `servers`
-all of a kind.
+`server-5`, `relay-1`, `discovery`, `collector-1` (of a zone); `zone-1` names all in it, `planners`, `proxies`,
+`servers` and `relays` all of a kind.
 """
 
 from __future__ import annotations
@@ -76,6 +76,8 @@
     probes: bool = True
     reports: bool = True  # whether servers tell how many requests they hold
     files: bool = False  # forwarders are spoken to by files alone
+    relays: Annotated[int, Meta(ge=0, le=2)] = 0  # between discovery and planners; 0: planners ask discovery itself
+    window: Annotated[int, Meta(ge=1024, le=1 << 20)] = 128 * 1024  # bytes that a connection takes from its writer
     client_retries: Annotated[int, Meta(ge=0, le=5)] = 2
     latency: Positive = 0.5  # ms one way within a zone
     between: Positive = 2.0  # ms one way between zones
@@ -88,7 +90,7 @@
 
 
 class Kill(Event, frozen=True):
-    """Planners are killed, or told to end; they start over after `back`, from nothing."""
+    """Planners or relays are killed, or told to end; they start over after `back`, from nothing."""
 
     planners: Names
     back: Time = 1.0
@@ -202,6 +204,14 @@
     late: Time = 0.0
 
 
+class Lag(Event, frozen=True):
+    """Discovery's watches tell some relays of changes `late` after the others; their empty lines come in time."""
+
+    who: Names
+    span: Time
+    late: Annotated[float, Meta(ge=0, le=5)] = 2.0  # within the protocol's 6 s
+
+
 class Older(Event, frozen=True):
     """Watches are told once more of an older state, in its older generation, then of the present one."""
 
@@ -209,10 +219,11 @@
 
 
 class Reload(Event, frozen=True):
-    """Discovery moves to another address; planners get a new configuration and SIGHUP."""
+    """Discovery moves to another address; planners get a new configuration and SIGHUP. With relays their plan gives
+    the cell another port, and they get SIGHUP as well."""
 
     planners: Names = ("planners",)
-    close: Time = 1.5  # until the old address ends what is still open there
+    close: Time = 1.5  # until the old address ends what is still open there; with relays it stays open
 
 
 class Renumber(Event, frozen=True):
@@ -299,6 +310,7 @@
     | Slow
     | LoseZone
     | Discovery
+    | Lag
     | Older
     | Reload
     | Renumber
@@ -322,12 +334,12 @@
     note: str = ""
 
 
-SINGLE = {"planners": "planner", "proxies": "proxy", "servers": "server"}
+SINGLE = {"planners": "planner", "proxies": "proxy", "servers": "server", "relays": "relay"}
 
 
 def members(names: Names, shape: Shape, kind: str) -> list[int]:
-    """The numbers of the machines of a kind (planner, proxy or server) that names stand for, in order."""
-    most = {"planner": shape.planners, "proxy": shape.proxies, "server": shape.servers}[kind]
+    """The numbers of the machines of a kind (planner, proxy, server or relay) that names stand for, in order."""
+    most = {"planner": shape.planners, "proxy": shape.proxies, "server": shape.servers, "relay": shape.relays}[kind]
     found: dict[int, None] = {}
     for name in names:
         word, _, number = name.partition("-")
@@ -347,7 +359,8 @@
 
 def machines(names: Names, shape: Shape) -> list[str]:
     """The machines that names stand for, by their own names."""
-    found = {f"{kind}-{n}": None for kind in ("planner", "proxy", "server") for n in members(names, shape, kind)}
+    kinds = ("planner", "proxy", "server", "relay")
+    found = {f"{kind}-{n}": None for kind in kinds for n in members(names, shape, kind)}
     for name in names:
         word, _, number = name.partition("-")
         if name == "discovery" or word == "collector":
@@ -404,7 +417,8 @@
     shape = script.shape
     told = [
         f"seed {script.seed}: {script.span:g} s, {shape.planners} planners, {shape.proxies} proxies, "
-        f"{shape.servers} servers in {shape.zones} zones, demand {shape.use:.0%} of capacity"
+        f"{shape.servers} servers in {shape.zones} zones, {f'{shape.relays} relays, ' if shape.relays else ''}"
+        f"demand {shape.use:.0%} of capacity"
     ]
     for fault in sorted(script.faults, key=lambda f: f.at):
         fields = msgspec.structs.asdict(fault)
--- a/stackwheel/trials/world.py
+++ b/stackwheel/trials/world.py
@@ -8,7 +8,7 @@
 import sys
 from bisect import bisect
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -27,6 +27,7 @@
 from stackwheel.trials.network import Address, Network, Transport
 from stackwheel.trials.planners import EPOCH, PlannerHost
 from stackwheel.trials.proxies import Collector, Lines, Proxy, Request, Stream
+from stackwheel.trials.relays import RelayGroup
 from stackwheel.trials.script import Script, zone_of
 from stackwheel.trials.servers import Outcome, Proof, Server
 
@@ -132,6 +133,8 @@
         )
         self.discovery.records = {s.name: self.record(s) for s in self.servers.values()}
         self.ever_listed.update(dict.fromkeys(self.servers))
+        self.network.window = shape.window
+        self.relays = RelayGroup(self) if shape.relays else None
         self.hosts: list[PlannerHost] = [PlannerHost(self, n) for n in range(shape.planners)]
         self.by_host = {host.machine.name: host for host in self.hosts}
         for host in self.hosts:
@@ -183,6 +186,14 @@
     def planner_address(self, planner: int) -> Address:
         return self.hosts[planner].address
 
+    def discovery_of(self, planner: int) -> str:
+        """The address at which a planner is told to look for the list."""
+        return "{}:{}".format(*self.discovery.address) if self.relays is None else self.relays.addresses_of(planner)
+
+    def records(self) -> Mapping[str, Record]:
+        """What discovery holds of the planners' servers."""
+        return self.discovery.records if self.relays is None else self.relays.part()
+
     def count(self, what: str, by: int = 1) -> None:
         self.counts[what] = self.counts.get(what, 0) + by
 
@@ -191,6 +202,8 @@
     def on_seen(self, end: Transport, data: bytes) -> None:
         """Bytes have been taken by one end of a connection."""
         self.digest.update(CONDITION.pack(self.loop.now, end.local[1] & 0xFFFF) + data)
+        if self.relays is not None:
+            self.relays.seen(end, data)
         host = self.by_host.get(end.machine.name)
         if host is None:
             return
@@ -250,6 +263,8 @@
                 )
 
     def on_wrote(self, end: Transport, data: bytes) -> None:
+        if self.relays is not None:
+            self.relays.wrote(end, data)
         host = self.by_host.get(end.machine.name)
         if host is not None and data.startswith(b"CONFIG") and isinstance(end.far.protocol, Stream):
             self.checker.wrote(host.number, end.far.protocol.proxy.number, self.ms())
@@ -274,7 +289,9 @@
         self.checker.planner_ready(host.number, self.ms())
         self.reachable_since[host.number] = self.loop.now
         self.told_generation[host.number] = self.discovery.generation
-        for record in self.discovery.records.values():
+        if self.relays is not None:
+            self.relays.planner_up(host.number)
+        for record in self.records().values():
             self.checker.tell(host.number, self.ms(), record.name, self.listed(record))
 
     def planner_down(self, host: PlannerHost) -> None:
@@ -341,7 +358,10 @@
         known = [r for r in records if r.state is not Availability.GONE or r.name in self.discovery.records]
         if known:
             self.discovery.change(known)
-            self.watch_for_unasked(self.discovery.generation)
+            if self.relays is None:
+                self.watch_for_unasked(self.discovery.generation)
+            else:
+                self.relays.changed(known)
 
     def told(self, planner: int | None, news: News) -> None:
         """A planner has taken what discovery wrote."""
@@ -524,7 +544,7 @@
 
     def standing_table(self, zone: int, chance: random.Random) -> Sequence[str]:
         """Up to so many listed servers, drawn by chance in the zone; of all where it has none."""
-        listed = [r.name for r in self.discovery.records.values() if r.state is Availability.READY]
+        listed = [r.name for r in self.records().values() if r.state is Availability.READY]
         own = [name for name in listed if self.servers[name].zone == zone] or listed
         return chance.sample(own, min(len(own), self.shape.start_lines))
 
@@ -588,6 +608,8 @@
         self.loop.at(self.loop.now + BOUNDS, None, self.look_at_bounds)
 
     def begin(self) -> None:
+        if self.relays is not None:
+            self.relays.begin()
         for host in self.hosts:
             self.loop.at(0.0, None, host.start)
         for proxy in self.proxies:
@@ -620,12 +642,15 @@
         try:
             self.begin()
             self.loop.run_until(self.script.span)
+            if self.relays is not None:
+                self.relays.settle()
             for why in self.loop.faults[:3]:
                 self.checker.break_rule(self.ms(), Rule.UPRIGHT, why)
             return self.result()
         finally:
             self.loop.close()
-            for machine in [*self.graves, *(h.machine for h in self.hosts)]:
+            relays = self.relays.hosts if self.relays is not None else ()
+            for machine in [*self.graves, *(h.machine for h in self.hosts), *(r.machine for r in relays)]:
                 machine.end_tasks()
             sys.unraisablehook = hook
             logger.remove(sink)
--- a/stackwheel/wire/listing_server.py
+++ b/stackwheel/wire/listing_server.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 
 import h11
@@ -38,11 +38,24 @@
     return max(1, WHOLE_BYTES_MOST // (servers * ENTRY_BYTES))
 
 
+def stand_open(address: str) -> socket.socket:
+    """A listener of the system; OSError if the address can't be had."""
+    opened = socket.create_server(split_address(address), backlog=LISTEN_WAITING)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)  # connections inherit it
+    return opened
+
+
 class ListingServer:
     """Serves what the cache holds. `now` is the cache's clock, in ms; `connections` the most at once."""
 
-    def __init__(self, cache: ListingCache, whole_answers: int, connections: int) -> None:
-        self.cache = cache
+    def __init__(
+        self,
+        cache: ListingCache,
+        whole_answers: int,
+        connections: int,
+        listen_at: Callable[[str], socket.socket] = stand_open,
+    ) -> None:
+        self.cache, self.listen_at = cache, listen_at
         self.slots = asyncio.Semaphore(whole_answers)
         self.connections_most = connections
         self.connections = 0
@@ -75,10 +88,8 @@
         self.listeners |= added
 
     async def _listen_at(self, address: str) -> asyncio.Server:
-        host, port = split_address(address)
-        opened = socket.create_server((host, port), backlog=LISTEN_WAITING)
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)  # connections inherit it
         serve = partial(self._serve, address)
+        opened = self.listen_at(address)
         return await asyncio.start_server(serve, sock=opened, backlog=LISTEN_WAITING, limit=HEAD_MOST)
 
     def close(self) -> None:
