--- a/stackwheel/trials/discovery.py
+++ b/stackwheel/trials/discovery.py
@@ -4,7 +4,7 @@
 
 import json
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -211,6 +211,16 @@
                 self.loop.now + after, self.machine, self.spread, tuple(new for new, _ in changed), self.generation
             )
 
+    def tell_again(self, names: Sequence[str]) -> tuple[Record, ...]:
+        """Watches hear the last word of some servers in a new generation; the records told."""
+        latest = {record.name: record for _, record, _ in self.log if record.name in names}
+        latest |= {name: self.records[name] for name in names if name in self.records}
+        told = tuple(latest.values())
+        self.generation += 1
+        self.log += [(self.generation, record, record) for record in told]
+        self.spread(told, self.generation)
+        return told
+
     def renumber(self) -> None:
         self.generation, self.log = 1, []
         self.end_calls()
@@ -253,9 +263,12 @@
             call.transport.abort()
 
     def line(self, records: Sequence[Record], whole: bool, generation: int) -> bytes:
-        return json.dumps(self.document(records, whole, generation), separators=(",", ":")).encode() + b"\n"
+        found = self.document(records, whole, generation, self.unreadable)
+        return json.dumps(found, separators=(",", ":")).encode() + b"\n"
 
-    def document(self, records: Sequence[Record], whole: bool, generation: int) -> dict[str, object]:
+    def document(
+        self, records: Sequence[Record], whole: bool, generation: int, unreadable: Container[str] = ()
+    ) -> dict[str, object]:
         return {
             "generation": generation,
             "reset": whole,
@@ -267,7 +280,7 @@
                     "machineType": f"kind-{r.kind}",
                     "cell": 0,
                     "lifecycle": LIFECYCLES[r.state],
-                    "weight": 1.0 if r.name not in self.unreadable else "unreadable",
+                    "weight": 1.0 if r.name not in unreadable else "unreadable",
                     "startedAtMs": r.started,
                 }
                 for r in records
--- a/stackwheel/trials/draw.py
+++ b/stackwheel/trials/draw.py
@@ -226,6 +226,7 @@
     (relay_cut, 10),
     (relay_stall, 5),
     (lambda d: s.Lag(d.when(), d.relays(), d.time(2.0, 12.0), d.time(0.2, 5.0)), 7),
+    (lambda d: s.Unreadable(d.when(), d.servers(0.5), d.time(1.0, 9.0)), 2),
     (lambda d: s.Older(d.when(), d.time(0.05, 8.0)), 3),
     (lambda d: s.Renumber(d.when()), 3),
     (lambda d: s.Reload(d.when(), ("planners",)), 2),
--- a/stackwheel/trials/events.py
+++ b/stackwheel/trials/events.py
@@ -287,6 +287,23 @@
         soon(world, fault.span, late.pop, relay.machine.name, None)
 
 
+@happen.register(s.Unreadable)
+def _(fault: s.Unreadable, world: World) -> None:
+    names = [server.name for server in servers_of(world, fault.servers)]
+    world.discovery.unreadable.update(dict.fromkeys(names))
+    if world.relays is not None:
+        world.relays.views.forget(names)
+    soon(world, fault.span, readable, world, names)
+
+
+def readable(world: World, names: list[str]) -> None:
+    for name in names:
+        world.discovery.unreadable.pop(name, None)
+    told = world.discovery.tell_again(names)
+    if world.relays is not None:
+        world.relays.changed(told)
+
+
 @happen.register(s.Older)
 def _(fault: s.Older, world: World) -> None:
     world.discovery.tell_older(fault.after)
--- a/stackwheel/trials/relay_views.py
+++ b/stackwheel/trials/relay_views.py
@@ -62,8 +62,15 @@
         self.pending[planner] = deque()
 
     def changed(self, records: Sequence[Record]) -> None:
+        readable = tuple(one for one in records if one.name not in self.world.discovery.unreadable)
         for waiting in self.pending.values():
-            waiting.append((self.world.loop.now, tuple(records)))
+            waiting.append((self.world.loop.now, readable))
+
+    def forget(self, names: Sequence[str]) -> None:
+        """What was told of servers whose entries can't be read from here on; they are told once more later."""
+        for planner, waiting in self.pending.items():
+            left = ((at, tuple(one for one in records if one.name not in names)) for at, records in waiting)
+            self.pending[planner] = deque(left)
 
     def pass_time(self, planner: int, open_since: float | None) -> None:
         """A change counts as told 6 s after it was written, where a way has been open for as long as a planner may
@@ -78,9 +85,12 @@
                 self.tell(planner, record)
 
     def tell(self, planner: int, record: Record) -> None:
-        """What the registry has said since of the same server counts in the place of it."""
+        """What the registry has said since of the same server counts in the place of it; so does what the planner
+        has been told already: of a server that is gone no drain is told any more."""
         present = self.world.discovery.records.get(record.name)
         away = record.state is not Availability.READY
+        if away and record.name not in self.world.checker.planners[planner].listed:
+            return
         if present is record or (away and (present is None or present.state is not Availability.READY)):
             self.world.checker.tell(planner, self.world.ms(), record.name, self.world.listed(record))
 
--- a/stackwheel/trials/script.py
+++ b/stackwheel/trials/script.py
@@ -212,6 +212,14 @@
     late: Annotated[float, Meta(ge=0, le=5)] = 2.0  # within the protocol's 6 s
 
 
+class Unreadable(Event, frozen=True):
+    """Entries of servers can't be read for a while, in lists and changes; then they are told once more. With relays
+    only."""
+
+    servers: Names
+    span: Time
+
+
 class Older(Event, frozen=True):
     """Watches are told once more of an older state, in its older generation, then of the present one."""
 
@@ -311,6 +319,7 @@
     | LoseZone
     | Discovery
     | Lag
+    | Unreadable
     | Older
     | Reload
     | Renumber
@@ -385,6 +394,8 @@
             for name in names if isinstance(names, tuple) else ():
                 if not machines((name,), shape):
                     raise ScriptError(f"faults[{place}].{field}: the shape has no {name!r}")
+        if isinstance(fault, Unreadable) and not shape.relays:
+            raise ScriptError(f"faults[{place}]: unreadable entries are for a shape with relays")
         if isinstance(fault, LoseZone) and fault.zone >= shape.zones:
             raise ScriptError(f"faults[{place}].zone: the shape has no zone {fault.zone}")
         if isinstance(fault, Strangers) and not members((fault.planner,), shape, "planner"):
--- a/tests/trials/test_script.py
+++ b/tests/trials/test_script.py
@@ -37,7 +37,12 @@
 
 
 def test_every_kind_of_fault_is_drawn() -> None:
-    kinds = {type(fault) for seed in range(400) for fault in (*draw(seed).faults, *draw(seed, True).faults)}
+    scripts = [
+        draw(seed, files, relays)
+        for seed in range(400)
+        for files, relays in ((False, False), (True, False), (False, True))
+    ]
+    kinds = {type(fault) for script in scripts for fault in script.faults}
     assert kinds == set(s.Fault.__args__)  # type: ignore[attr-defined]
 
 
