--- a/stackwheel/trials/defects.py
+++ b/stackwheel/trials/defects.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
@@ -21,6 +22,9 @@
 from stackwheel.files.disk import SwapFailed
 from stackwheel.files.reader import Reader
 from stackwheel.interface import Availability, Retry
+from stackwheel.relay import cache
+from stackwheel.relay.contact import Contact
+from stackwheel.relay.part import Part
 from stackwheel.rules.verdicts import Rule
 from stackwheel.state.module import Module
 from stackwheel.state.roster import Listing, Roster
@@ -32,6 +36,8 @@
 from stackwheel.wire.discovery import Discovery
 from stackwheel.wire.lines import Encoder
 from stackwheel.wire.links import Links
+from stackwheel.wire.listing_server import ListingServer
+from stackwheel.wire.listing_watch import UNREAD_MOST, ListingWatch
 from stackwheel.wire.peer import Peer, RateLimiter, Waiting
 from stackwheel.wire.values import Spoilt
 
@@ -333,6 +339,66 @@
     ]
 
 
+def old_generation_served() -> Sequence[Patch]:
+    """The part that was encoded once is served under every later generation."""
+    return [(Part, "_changed", lambda self: None)]
+
+
+def behind_served() -> Sequence[Patch]:
+    """A relay that is behind what its caller knows answers at once."""
+    return [(Part, "waits_for", lambda self, since, now: False)]
+
+
+def gap_before_watch() -> Sequence[Patch]:
+    """The first answer of a watch is made a second before the watch is told of changes."""
+    honest = ListingServer._watch
+
+    async def watch(self: ListingServer, cell: str, resumed: bytes | None, reader: Any, writer: Any) -> None:
+        snapshot = resumed or self.cache.whole(cell)
+        await asyncio.sleep(1.0)
+        await honest(self, cell, snapshot, reader, writer)
+
+    return [(ListingServer, "_watch", watch)]
+
+
+def lost_registry_vouched_for() -> Sequence[Patch]:
+    return [
+        (Contact, "vouched", lambda self, now: self.heard_at is not None),
+        (Contact, "lapse", lambda self, now: False),
+    ]
+
+
+def unreadable_as_departure() -> Sequence[Patch]:
+    return [
+        (cache, "may_be_in", lambda name, unreadable: False),
+        (cache.ListingCache, "_note_unreadable", lambda self, listing: None),
+    ]
+
+
+def departures_not_resumed() -> Sequence[Patch]:
+    honest = Part._changed_after
+
+    def changed_after(self: Part, since: int) -> list[bytes]:
+        departed, self.departed = self.departed, {}
+        try:
+            return honest(self, since)
+        finally:
+            self.departed = departed
+
+    return [(Part, "_changed_after", changed_after)]
+
+
+def dropped_for_slow_reader() -> Sequence[Patch]:
+    """What a watcher leaves unread beyond the bound is dropped, and the whole part is not told in the place of it."""
+    honest = ListingWatch.tell
+
+    def tell(self: ListingWatch, data: bytes) -> None:
+        if not self.writing or self.pending_bytes + len(data) <= UNREAD_MOST:
+            honest(self, data)
+
+    return [(ListingWatch, "tell", tell)]
+
+
 DEFECTS: tuple[Defect, ...] = (
     Defect("drain-ignored", "policy", (Rule.DRAINS,), drain_ignored, "a draining server counts as ready"),
     Defect("gone-kept", "policy", (Rule.DRAINS,), gone_kept, "servers that left the list stay in tables"),
@@ -424,7 +490,58 @@
     ),
     Defect("age-ignored", "files", (Rule.GENUINE,), age_ignored, "files are used after their time"),
 )
-ALL_DEFECTS = DEFECTS + FILE_DEFECTS
+RELAY_DEFECTS: tuple[Defect, ...] = (
+    Defect(
+        "old-generation-served",
+        "relay",
+        (Rule.PART, Rule.DRAINS),
+        old_generation_served,
+        "a relay serves the part of an old generation under the present one",
+    ),
+    Defect(
+        "behind-served",
+        "relay",
+        (Rule.PART, Rule.DRAINS),
+        behind_served,
+        "a relay answers callers that know more than it does",
+    ),
+    Defect(
+        "gap-before-watch",
+        "relay",
+        (Rule.PART, Rule.DRAINS),
+        gap_before_watch,
+        "what changes between a watch's first answer and its place among the watches is dropped",
+    ),
+    Defect(
+        "lost-registry-vouched-for",
+        "relay",
+        (Rule.VOUCHED,),
+        lost_registry_vouched_for,
+        "a relay goes on with empty lines and answers after it lost the registry",
+    ),
+    Defect(
+        "unreadable-as-departure",
+        "relay",
+        (Rule.PART, Rule.SERVED),
+        unreadable_as_departure,
+        "a server whose entry can't be read counts as departed",
+    ),
+    Defect(
+        "departures-not-resumed",
+        "relay",
+        (Rule.PART, Rule.DRAINS),
+        departures_not_resumed,
+        "a watch that goes on is not told who has left meanwhile",
+    ),
+    Defect(
+        "dropped-for-slow-reader",
+        "relay",
+        (Rule.PART, Rule.DRAINS),
+        dropped_for_slow_reader,
+        "changes that a slow reader has no room for are lost",
+    ),
+)
+ALL_DEFECTS = DEFECTS + FILE_DEFECTS + RELAY_DEFECTS
 
 
 def named(name: str | None) -> Defect | None:
@@ -450,11 +567,11 @@
     """Try seeds until one shows the defect by a rule that it keeps without it."""
     defect = named(name)
     assert defect is not None
-    files = defect in FILE_DEFECTS
+    files, relays = defect in FILE_DEFECTS, defect in RELAY_DEFECTS
     for needed, seed in enumerate(seeds, 1):
         with planted(defect):
-            shown = found_by(defect, run_seed(seed, files))
-        if shown and (news := shown - {verdict.rule for verdict in run_seed(seed, files).verdicts}):
+            shown = found_by(defect, run_seed(seed, files, relays))
+        if shown and (news := shown - {verdict.rule for verdict in run_seed(seed, files, relays).verdicts}):
             return Search(name, needed, seed, min(news))
     return Search(name, len(seeds), -1, None)
 
