--- a/stackwheel/trials/events.py
+++ b/stackwheel/trials/events.py
@@ -326,7 +326,7 @@
 
 @happen.register(s.Renumber)
 def _(fault: s.Renumber, world: World) -> None:
-    world.discovery.renumber()
+    world.discovery.renumber(1 if world.relays is None else world.relays.next_numbering())
     for host in world.hosts:
         world.told_generation[host.number] = 0
 
--- a/stackwheel/trials/relays.py
+++ b/stackwheel/trials/relays.py
@@ -35,6 +35,8 @@
 OTHER_SERVERS = 5
 OTHER_CHANGES = (0.5, 2.5)  # s between changes in the other cell
 CONNECTIONS = 1024
+FIRST_GENERATION = 10**15  # a numbering begins far below the one before, so that a trial never reaches its numbers:
+NEXT_NUMBERING = 100  # a registry that does so can't be told from one that goes on, by whoever was away meanwhile
 LOOK = 0.1  # s between looks at which ways are open
 SETTLING_LISTS = 2 * 6.0  # s: a list that a relay, and then a planner, holds for an older state
 SETTLES_WITHIN = 120.0  # s after a script's end within which its last fault must have ended
@@ -110,6 +112,7 @@
         self.ends = False  # of the script: from here on nothing goes wrong any more
         self.unquiet_at = 0.0  # s: when something last changed or went wrong
         self.others = [self.other(number) for number in range(OTHER_SERVERS)]
+        world.discovery.generation = FIRST_GENERATION
         world.discovery.records |= {record.name: record for record in self.others}
 
     def plan(self) -> Plan:
@@ -132,6 +135,10 @@
             if host.running:
                 host.reload()
 
+    def next_numbering(self) -> int:
+        """Where the registry begins when it counts anew."""
+        return max(1, self.world.discovery.generation // NEXT_NUMBERING)
+
     # the other cell
 
     def other(self, number: int, started: float = 0.0) -> Record:
