--- a/stackwheel/trials/relay_views.py
+++ b/stackwheel/trials/relay_views.py
@@ -21,6 +21,7 @@
 
 STATES = {word: state for state, word in LIFECYCLES.items()}
 ORDER = {Availability.READY: 0, Availability.DRAINING: 1, Availability.GONE: 2}
+HELD_WITHIN = 1.0  # s from being told until a planner holds it: several of its batches
 LISTING = b'{"generation"'
 Ways = Mapping[tuple[int, int], tuple[float, int, int]]
 
@@ -51,6 +52,7 @@
         self.world, self.cell = world, cell
         self.readings: dict[Transport, Reading] = {}
         self.pending: dict[int, deque[tuple[float, tuple[Record, ...]]]] = {}  # by planner: written when (s), what
+        self.amiss: dict[tuple[int, int], dict[str, float]] = {}  # by planner and life: what it lacks, since when (s)
         self.history: dict[str, list[tuple[float, int]]] = {}  # all that the registry has said of a server
         self.remember(tuple(world.discovery.records.values()))
 
@@ -162,7 +164,40 @@
         elif known is not None:
             checker.tell(planner, self.world.ms(), name, replace(known, availability=state))
 
-    # the end
+    # what planners hold
+
+    def look(self, planner: PlannerHost) -> None:
+        """What a planner has been told, and the registry still says, it holds: nothing is lost or taken backwards."""
+        key, now = (planner.number, planner.lives), self.world.loop.now
+        if not planner.running or planner.machine.still or planner.number not in self.world.checker.planners:
+            self.amiss.pop(key, None)
+            return
+        before, found = self.amiss.get(key, {}), {}
+        for name, why in self.lacks(planner).items():
+            found[name] = before.get(name, now)
+            if now - found[name] >= HELD_WITHIN:
+                self.break_part(f"{name} {why} for {now - found[name]:.1f} s", planner.number, name)
+        self.amiss[key] = found
+
+    def lacks(self, planner: PlannerHost) -> dict[str, str]:
+        """By server, what is wrong with it in a planner's list."""
+        assert planner.service is not None
+        roster, registry = planner.service.roster, self.world.discovery.records
+        held = {roster.ids.name(server) or "": entry.availability for server, entry in roster.entries.items()}
+        told = self.world.checker.planners[planner.number].listed
+        found: dict[str, str] = {}
+        for name, listed in told.items():
+            present = registry.get(name)
+            if present is None or present.warm_at * 1000.0 != listed.warm_at:
+                continue  # what the registry says of it now has not been told yet
+            if name not in held:
+                found[name] = "was told and is not held"
+            elif listed.availability is present.state is Availability.DRAINING and held[name] is not present.state:
+                found[name] = "was told to drain and is held as ready"
+        for name in held:
+            if name not in told and name not in registry:
+                found[name] = "was told to have left and is held"
+        return found
 
     def compare_all(self, part: Mapping[str, Record], relays: Sequence[RelayHost]) -> None:
         """Entry by entry: each planner and each relay against the registry."""
--- a/stackwheel/trials/relays.py
+++ b/stackwheel/trials/relays.py
@@ -189,6 +189,7 @@
             self.unquiet_at = now
         for planner in planners:
             self.views.pass_time(planner.number, ways_open_since(self.open_since, planner.number))
+            self.views.look(planner)
         self.later(LOOK, self.look)
 
     def way_open(self, relay: RelayHost, planner: PlannerHost) -> bool:
