--- a/stackwheel/trials/discovery.py
+++ b/stackwheel/trials/discovery.py
@@ -56,6 +56,7 @@
         self.news: deque[News] = deque()
         self.planner: int | None = None
         self.caller = ""  # the machine
+        self.told_until = 0.0  # s: when the last change that is told late to it has been told
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
@@ -129,6 +130,8 @@
         self.free_at = 0.0
         self.trouble = ""  # refuse, 503, silence or late
         self.late = 0.0
+        self.in_order = False  # what is told late holds up what is told after it
+        self.told_until = 0.0  # s: when the last change that was told late has been told
         self.late_for: dict[str, float] = {}  # by machine: changes are told to it so late, empty lines in time
         self.unreadable: dict[str, None] = {}  # servers whose entries nobody can read
         self.open()
@@ -180,16 +183,22 @@
             self.records[record.name] = record
             if record.state is Availability.GONE:
                 del self.records[record.name]
-        if self.trouble == "late" and self.late:
-            self.loop.at(self.loop.now + self.late, self.machine, self.spread, tuple(records), self.generation)
+        late = self.late if self.trouble == "late" else 0.0
+        held_up = self.in_order and self.told_until > self.loop.now
+        if late or held_up:
+            at = self.loop.now + late
+            self.told_until = max(self.told_until, at)
+            at = self.told_until if self.in_order else at
+            self.loop.at(at, self.machine, self.spread, tuple(records), self.generation)
         else:
             self.spread(tuple(records), self.generation)
 
     def spread(self, records: tuple[Record, ...], generation: int) -> None:
         for call in [call for call in self.calls if call.watching]:
             late = self.late_for.get(call.caller, 0.0) if self.late_for else 0.0
-            if late:
-                self.loop.at(self.loop.now + late, self.machine, self.tell_late, call, records, generation)
+            if late or call.told_until > self.loop.now:
+                call.told_until = max(call.told_until, self.loop.now + late)
+                self.loop.at(call.told_until, self.machine, self.tell_late, call, records, generation)
             else:
                 call.tell(records, False, generation)
 
--- a/stackwheel/trials/relay_views.py
+++ b/stackwheel/trials/relay_views.py
@@ -5,7 +5,6 @@
 import json
 from collections import deque
 from collections.abc import Mapping, Sequence
-from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from stackwheel.cells.assignment import service_of
@@ -23,9 +22,14 @@
 ORDER = {Availability.READY: 0, Availability.DRAINING: 1, Availability.GONE: 2}
 HELD_WITHIN = 1.0  # s from being told until a planner holds it: several of its batches
 LISTING = b'{"generation"'
+Step = tuple[float, int]  # when a process started, and how far it has come
 Ways = Mapping[tuple[int, int], tuple[float, int, int]]
 
 
+def step_of(record: Record) -> Step:
+    return record.started, ORDER[record.state]
+
+
 def ways_open_since(ways: Ways, planner: int) -> float | None:
     """Since when one and the same relay has led from discovery to a planner, in s; None where none does."""
     return min((since for (_, to), (since, _, _) in ways.items() if to == planner), default=None)
@@ -37,7 +41,7 @@
     def __init__(self) -> None:
         self.half = b""
         self.generation = -1
-        self.known: dict[str, tuple[float, int]] = {}  # start of the process, and how far it has come
+        self.known: dict[str, Step] = {}
 
     def lines(self, data: bytes) -> list[dict[str, Any]]:
         """The listings that have come whole."""
@@ -53,7 +57,8 @@
         self.readings: dict[Transport, Reading] = {}
         self.pending: dict[int, deque[tuple[float, tuple[Record, ...]]]] = {}  # by planner: written when (s), what
         self.amiss: dict[tuple[int, int], dict[str, float]] = {}  # by planner and life: what it lacks, since when (s)
-        self.history: dict[str, list[tuple[float, int]]] = {}  # all that the registry has said of a server
+        self.history: dict[str, list[Record]] = {}  # all that the registry has said of a server
+        self.told: dict[int, dict[str, int]] = {}  # by planner and server: the last place in that which it was told
         self.remember(tuple(world.discovery.records.values()))
 
     def break_part(self, detail: str, planner: int | None, server: str | None = None) -> None:
@@ -63,16 +68,17 @@
 
     def planner_up(self, planner: int) -> None:
         """It begins with the list as it is now."""
+        self.told[planner] = {name: len(said) - 1 for name, said in self.history.items()}
         self.pending[planner] = deque()
 
     def remember(self, records: Sequence[Record]) -> None:
         for record in records:
-            self.history.setdefault(record.name, []).append((record.started, ORDER[record.state]))
+            self.history.setdefault(record.name, []).append(record)
 
-    def said_later(self, name: str, former: tuple[float, int], step: tuple[float, int]) -> bool:
-        """Whether the registry itself has said one thing of a server and the other after it."""
+    def place_of(self, name: str, step: Step) -> int:
+        """The last place at which the registry has said this of a server; -1 if it never has."""
         said = self.history.get(name, [])
-        return former in said and step in said[said.index(former) + 1 :]
+        return next((place for place in reversed(range(len(said))) if step_of(said[place]) == step), -1)
 
     def changed(self, records: Sequence[Record]) -> None:
         self.remember(records)
@@ -99,13 +105,12 @@
                 self.tell(planner, record)
 
     def tell(self, planner: int, record: Record) -> None:
-        """What the registry has said since of the same server counts in the place of it; so does what the planner
-        has been told already: of a server that is gone no drain is told any more."""
-        present = self.world.discovery.records.get(record.name)
-        away = record.state is not Availability.READY
-        if away and record.name not in self.world.checker.planners[planner].listed:
-            return
-        if present is record or (away and (present is None or present.state is not Availability.READY)):
+        """A planner is told what the registry says of a server in the registry's order: what is older than what it
+        has been told already obliges it to nothing."""
+        places = self.told.setdefault(planner, {})
+        place = next(n for n, one in reversed(list(enumerate(self.history[record.name]))) if one is record)
+        if planner in self.world.checker.planners and place > places.get(record.name, -1):
+            places[record.name] = place
             self.world.checker.tell(planner, self.world.ms(), record.name, self.world.listed(record))
 
     # what came
@@ -133,7 +138,7 @@
                 self.read_entry(planner, reading, entry)
         if whole and "" not in named and planner in self.world.checker.planners:
             for name in [name for name in self.world.checker.planners[planner].listed if name not in named]:
-                self.told_state(planner, name, Availability.GONE, None)
+                self.told_gone(planner, name)
 
     def read_entry(self, planner: int, reading: Reading, entry: dict[str, Any]) -> None:
         name, state, started = entry["instanceId"], STATES[entry["lifecycle"]], float(entry["startedAtMs"])
@@ -142,27 +147,21 @@
             return
         step = started, ORDER[state]
         former = reading.known.get(name, step)
-        if step < former and not self.said_later(name, former, step):
+        if step < former and self.place_of(name, step) < self.place_of(name, former):
             self.break_part(f"{name} goes back from {former} to {step}", planner, name)
         reading.known[name] = step
-        self.told_state(planner, name, state, started)
-
-    def told_state(self, planner: int, name: str, state: Availability, started: float | None) -> None:
-        """An entry counts as far as it is the registry's word: what is older obliges nobody."""
-        checker = self.world.checker
-        if planner not in checker.planners:
-            return
-        present = self.world.discovery.records.get(name)
-        if state is Availability.READY:
-            if present is None or present.state is not state or present.started != started:
-                return
-        elif present is not None and (present.state is Availability.READY or ORDER[state] > ORDER[present.state]):
-            return
-        known = checker.planners[planner].listed.get(name)
-        if present is not None:
-            checker.tell(planner, self.world.ms(), name, self.world.listed(replace(present, state=state)))
-        elif known is not None:
-            checker.tell(planner, self.world.ms(), name, replace(known, availability=state))
+        self.told_step(planner, name, step)
+
+    def told_gone(self, planner: int, name: str) -> None:
+        """A whole list lacks a server."""
+        gone = [one for one in self.history.get(name, []) if one.state is Availability.GONE]
+        if gone:
+            self.tell(planner, gone[-1])
+
+    def told_step(self, planner: int, name: str, step: Step) -> None:
+        place = self.place_of(name, step)
+        if place >= 0:
+            self.tell(planner, self.history[name][place])
 
     # what planners hold
 
--- a/stackwheel/trials/relays.py
+++ b/stackwheel/trials/relays.py
@@ -112,6 +112,7 @@
         self.ends = False  # of the script: from here on nothing goes wrong any more
         self.unquiet_at = 0.0  # s: when something last changed or went wrong
         self.others = [self.other(number) for number in range(OTHER_SERVERS)]
+        world.discovery.in_order = True
         world.discovery.generation = FIRST_GENERATION
         world.discovery.records |= {record.name: record for record in self.others}
 
@@ -159,6 +160,7 @@
             now = self.other(number, (EPOCH + self.world.loop.now) * 1000.0)
         self.others[number] = now
         self.world.discovery.change([now])
+        self.views.remember([now])
         self.later(self.chance.uniform(*OTHER_CHANGES), self.change_other)
 
     # the run
