--- a/tests/trials/test_relays.py
+++ b/tests/trials/test_relays.py
@@ -148,8 +148,10 @@
 BACK, PLANNERS = 14.0, 16  # s when both relays of the script are back after 8 s; as many planners as a cell may hold
 
 
-def test_relays_that_come_back_meet_no_herd() -> None:
-    world = Calls(script("relays-lost-and-back", planners=PLANNERS))
+@pytest.mark.parametrize("on_request", [True, False])
+def test_relays_that_come_back_meet_no_herd(on_request: bool) -> None:
+    """Whether the policy says when to ask again, or the list's actor does."""
+    world = Calls(script("relays-lost-and-back", planners=PLANNERS, on_request=on_request))
     assert verdicts(world) == []
     after = [at for at in world.at_relays if at < BACK + 5.0]
     assert len([at for at in after if at >= BACK]) >= PLANNERS  # all of them came
@@ -160,7 +162,7 @@
 
 def test_callers_that_do_not_back_off_are_a_herd(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Backoff, "next", lambda self: 50.0)
-    world = Calls(script("relays-lost-and-back", planners=PLANNERS))
+    world = Calls(script("relays-lost-and-back", planners=PLANNERS, on_request=False))
     world.run()
     after = [at for at in world.at_relays if at < BACK + 5.0]
     assert world.most(after, BACK, 0.25) > PLANNERS // 2
