--- a/stackwheel/trials/discovery.py
+++ b/stackwheel/trials/discovery.py
@@ -52,6 +52,7 @@
         self.transport: Transport | None = None
         self.head = bytearray()
         self.watching = self.answered = False
+        self.followed = False  # it is or was a watch
         self.written = self.taken = 0  # bytes of the answer
         self.news: deque[News] = deque()
         self.planner: int | None = None
@@ -254,7 +255,7 @@
             call.transport.abort()
         elif "follow=1" in target:
             call.write(HEAD)
-            call.watching = True
+            call.watching = call.followed = True
             since = int(target.rpartition("since=")[2]) if "since=" in target else 0
             if (
                 0 < since <= self.generation
--- a/stackwheel/trials/relays.py
+++ b/stackwheel/trials/relays.py
@@ -220,7 +220,7 @@
         relay = self.by_name.get(end.machine.name)
         if relay is not None:
             speaker = end.far.protocol
-            if isinstance(speaker, Call) and speaker.watching:
+            if isinstance(speaker, Call) and speaker.followed:
                 relay.heard_at = self.world.loop.now
         elif end.far.machine.name in self.by_name and end.machine.name in self.world.by_host:
             self.views.taken(self.world.by_host[end.machine.name].number, end, data)
