--- a/tests/trials/test_network.py
+++ b/tests/trials/test_network.py
@@ -246,3 +246,50 @@
     task = pair.loop.start(pair.a, ask())
     pair.run(1.0)
     assert task.result() == b"HELLO\n"
+
+
+def test_a_served_listener_hands_its_connections_to_tasks_and_ends_without_them() -> None:
+    """As `asyncio.start_server` asks for it, of a loop and of a socket that was opened before."""
+    pair = Pair(listening=False)
+    served: list[asyncio.StreamWriter] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        served.append(writer)
+        writer.write(await reader.readline())
+
+    async def begin() -> asyncio.Server:
+        listener: Any = pair.network.listen(pair.b, ADDRESS)
+        return await asyncio.start_server(serve, sock=listener)
+
+    task = pair.loop.start(pair.b, begin())
+    pair.run(0.1)
+    pair.client = End()
+    pair.dial()
+    pair.say(b"hello\n")
+    pair.run(1.0)
+    assert pair.client.heard == [b"hello\n"]
+    task.result().close()
+    pair.say(b"more\n")
+    pair.run(1.0)
+    assert pair.client.lost == [] and not served[0].is_closing()  # what is open stays so
+    other = pair.client = End()
+    pair.dial()
+    assert isinstance(other.lost[0], ConnectionRefusedError)
+    served[0].transport.abort()
+
+
+def test_a_writer_with_its_mark_at_zero_waits_for_all_that_the_kernel_has_not_taken() -> None:
+    pair = Pair()
+    pair.network.window = 1000
+    assert pair.client.transport is not None and pair.servers[0].transport is not None
+    pair.servers[0].transport.pause_reading()
+    pair.say(b"x" * 1500)
+    assert not pair.client.paused  # the usual marks
+    pair.client.transport.set_write_buffer_limits(high=0)
+    assert pair.client.transport.get_write_buffer_limits() == (0, 0)
+    pair.say(b"x")
+    assert pair.client.paused and pair.client.transport.get_write_buffer_size() == 501
+    pair.run(1.0)
+    pair.servers[0].transport.resume_reading()
+    pair.run(1.0)
+    assert not pair.client.paused
