--- a/stackwheel/trials/discovery.py
+++ b/stackwheel/trials/discovery.py
@@ -4,7 +4,7 @@
 
 import json
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -52,13 +52,17 @@
         self.transport: Transport | None = None
         self.head = bytearray()
         self.watching = self.answered = False
+        self.followed = False  # it is or was a watch
         self.written = self.taken = 0  # bytes of the answer
         self.news: deque[News] = deque()
         self.planner: int | None = None
+        self.caller = ""  # the machine
+        self.told_until = 0.0  # s: when the last change that is told late to it has been told
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
         self.planner = self.discovery.planner_of(transport.far.machine)
+        self.caller = transport.far.machine.name
         self.discovery.calls[self] = None
 
     def data_received(self, data: bytes) -> None:
@@ -127,6 +131,10 @@
         self.free_at = 0.0
         self.trouble = ""  # refuse, 503, silence or late
         self.late = 0.0
+        self.in_order = False  # what is told late holds up what is told after it
+        self.told_until = 0.0  # s: when the last change that was told late has been told
+        self.late_for: dict[str, float] = {}  # by machine: changes are told to it so late, empty lines in time
+        self.unreadable: dict[str, None] = {}  # servers whose entries nobody can read
         self.open()
         self.beat()
 
@@ -176,13 +184,28 @@
             self.records[record.name] = record
             if record.state is Availability.GONE:
                 del self.records[record.name]
-        if self.trouble == "late" and self.late:
-            self.loop.at(self.loop.now + self.late, self.machine, self.spread, tuple(records), self.generation)
+        late = self.late if self.trouble == "late" else 0.0
+        held_up = self.in_order and self.told_until > self.loop.now
+        if late or held_up:
+            at = self.loop.now + late
+            self.told_until = max(self.told_until, at)
+            at = self.told_until if self.in_order else at
+            self.loop.at(at, self.machine, self.spread, tuple(records), self.generation)
         else:
             self.spread(tuple(records), self.generation)
 
     def spread(self, records: tuple[Record, ...], generation: int) -> None:
         for call in [call for call in self.calls if call.watching]:
+            late = self.late_for.get(call.caller, 0.0) if self.late_for else 0.0
+            if late or call.told_until > self.loop.now:
+                call.told_until = max(call.told_until, self.loop.now + late)
+                self.loop.at(call.told_until, self.machine, self.tell_late, call, records, generation)
+            else:
+                call.tell(records, False, generation)
+
+    @staticmethod
+    def tell_late(call: Call, records: tuple[Record, ...], generation: int) -> None:
+        if call.watching:
             call.tell(records, False, generation)
 
     def tell_older(self, after: float) -> None:
@@ -198,8 +221,18 @@
                 self.loop.now + after, self.machine, self.spread, tuple(new for new, _ in changed), self.generation
             )
 
-    def renumber(self) -> None:
-        self.generation, self.log = 1, []
+    def tell_again(self, names: Sequence[str]) -> tuple[Record, ...]:
+        """Watches hear the last word of some servers in a new generation; the records told."""
+        latest = {record.name: record for _, record, _ in self.log if record.name in names}
+        latest |= {name: self.records[name] for name in names if name in self.records}
+        told = tuple(latest.values())
+        self.generation += 1
+        self.log += [(self.generation, record, record) for record in told]
+        self.spread(told, self.generation)
+        return told
+
+    def renumber(self, first: int = 1) -> None:
+        self.generation, self.log = first, []
         self.end_calls()
 
     def beat(self) -> None:
@@ -222,7 +255,7 @@
             call.transport.abort()
         elif "follow=1" in target:
             call.write(HEAD)
-            call.watching = True
+            call.watching = call.followed = True
             since = int(target.rpartition("since=")[2]) if "since=" in target else 0
             if (
                 0 < since <= self.generation
@@ -240,9 +273,12 @@
             call.transport.abort()
 
     def line(self, records: Sequence[Record], whole: bool, generation: int) -> bytes:
-        return json.dumps(self.document(records, whole, generation), separators=(",", ":")).encode() + b"\n"
+        found = self.document(records, whole, generation, self.unreadable)
+        return json.dumps(found, separators=(",", ":")).encode() + b"\n"
 
-    def document(self, records: Sequence[Record], whole: bool, generation: int) -> dict[str, object]:
+    def document(
+        self, records: Sequence[Record], whole: bool, generation: int, unreadable: Container[str] = ()
+    ) -> dict[str, object]:
         return {
             "generation": generation,
             "reset": whole,
@@ -254,7 +290,7 @@
                     "machineType": f"kind-{r.kind}",
                     "cell": 0,
                     "lifecycle": LIFECYCLES[r.state],
-                    "weight": 1.0,
+                    "weight": 1.0 if r.name not in unreadable else "unreadable",
                     "startedAtMs": r.started,
                 }
                 for r in records
