--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -44,7 +44,7 @@
 LEAST_LEVEL, ALL, NO_LIMIT = 0.05, 0.99, 1e6  # least share let in; what counts as all; no rate limit
 FURTHER_TRY = Retry.ONCE_IF_UNTRIED  # safe for any class; after any failure it doubled the work under strain
 PEERS_MOST, ASK_MOST = 128, 0.4  # messages of peers in a cycle; of the time to ask again in
-SLOT_TOKEN, LIST_TOKEN, HELD_TOKEN, NOW, COLD, SOON, NEW, LATER = 1 << 32, 2 << 32, 3 << 32, *range(5)  # timers; waits
+SLOT_TOKEN, LIST_TOKEN, HELD_TOKEN, NOW, COLD, SOON, NEW, LATER = 1 << 32, 2 << 32, 3 << 32, *range(5)
 Key = tuple[int, int]  # zone and class: what a table is for
 Rates = dict[Server, float]
 Move = tuple[int, float, int, Server, float]  # how long it may wait; less the more; a table's place; weight
@@ -531,14 +531,14 @@
         groups = sorted(self.all_groups(), key=lambda group: group.written)
         for group in [g for g in groups if g.users and any(s not in ready for t in g.tables for s in t.sent)]:
             self.send_group(group, list(group.users), True)
-        self.actions += [face.SetTimer(AGAIN * self.settings.cycle, HELD_TOKEN)] if self.held else []  # the next try
+        self.actions += [face.SetTimer(AGAIN * self.settings.cycle, HELD_TOKEN)] if self.held else []
         strict = self.held or bool(self.waiting)
         for group in groups:
             self.send_group(group, list(group.users), strict)
 
     def send_group(self, group: Group, users: list[int], strict: bool) -> None:
         """Send a group in one message what must not wait, then the largest moves, as many as fit."""
-        tables, each, head = group.tables, max(1, len(users)), self.outbox.head
+        tables, each, head, settings = group.tables, max(1, len(users)), self.outbox.head, self.settings
         moves = sorted(move for place, table in enumerate(tables) for move in self.moves(place, table)
                        if not strict or move[0] <= COLD)
         levels = [self.wanted_levels(table) for table in tables]
@@ -552,7 +552,7 @@
         most = int(bounded(max(pressing, usual), 0, max(0, full)))
         since = self.now - group.written  # for what rules need there is a reserve of the cap
         share = 1.0 if moves and moves[0][0] <= COLD and since >= self.outbox.apart() else DELTA_MESSAGES
-        close = self.settings.message_cap and self.slot_at < self.now and 0 < since < CLOSE * self.settings.drain_grace
+        close = settings.message_cap and self.slot_at < self.now and 0 < since < CLOSE * settings.drain_grace
         fits = full > 0 and not close and self.outbox.room(self.lines, BUSY) > 0 and all(
             self.outbox.may_write(u, share) for u in users if u not in self.lines)
         chosen = moves[:most] if fits else []
