--- a/stackwheel/balance.py
+++ b/stackwheel/balance.py
@@ -538,7 +538,7 @@
 
     def send_group(self, group: Group, users: list[int], strict: bool) -> None:
         """Send a group in one message what must not wait, then the largest moves, as many as fit."""
-        tables, each, head = group.tables, max(1, len(users)), self.outbox.head
+        tables, each, head, settings = group.tables, max(1, len(users)), self.outbox.head, self.settings
         moves = sorted(move for place, table in enumerate(tables) for move in self.moves(place, table)
                        if not strict or move[0] <= COLD)
         levels = [self.wanted_levels(table) for table in tables]
@@ -550,9 +550,9 @@
         usual = 0.0 if strict or spent else max(head, self.outbox.span / each - head)
         full = self.outbox.room(self.lines, FULL) / each - head - news
         most = int(bounded(max(pressing, usual), 0, max(0, full)))
-        since, limits = self.now - group.written, self.settings  # for what rules need there is a reserve
+        since = self.now - group.written  # for what rules need there is a reserve of the cap
         share = 1.0 if moves and moves[0][0] <= COLD and since >= self.outbox.apart() else DELTA_MESSAGES
-        close = limits.message_cap and self.slot_at < self.now and 0 < since < CLOSE * limits.drain_grace
+        close = settings.message_cap and self.slot_at < self.now and 0 < since < CLOSE * settings.drain_grace
         fits = full > 0 and not close and self.outbox.room(self.lines, BUSY) > 0 and all(
             self.outbox.may_write(u, share) for u in users if u not in self.lines)
         chosen = moves[:most] if fits else []
