--- a/stackwheel/scale/points.py
+++ b/stackwheel/scale/points.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from stackwheel.scale import design_size as design
-from stackwheel.scale.surroundings import ListEntry
+from stackwheel.scale.entries import Entry
 
 SERVICE_SERVERS = round(design.SERVERS / design.SERVICES)  # of a mean service
 ZONES = design.ZONES
@@ -25,9 +25,9 @@
     zone_lost: bool = False  # all servers of the first zone leave during the span
     requests: int = MEAN_REQUESTS  # a second that collectors report on: no more servers a cycle can have met one
 
-    def entries(self, probe_address: str) -> list[ListEntry]:
+    def entries(self, probe_address: str) -> list[Entry]:
         """The list: names as in the fleet, zones in turn."""
-        return [ListEntry(f"svc-0001-{number:08x}", probe_address, self.zone(number)) for number in range(self.servers)]
+        return [Entry(f"svc-0001-{number:08x}", probe_address, self.zone(number)) for number in range(self.servers)]
 
     def zone(self, number: int) -> str:
         return f"zone-{number % self.zones:02d}"
@@ -45,11 +45,11 @@
         """Mean services, a cell each."""
         return max(1, round(self.servers / SERVICE_SERVERS))
 
-    def entries(self) -> list[ListEntry]:
+    def entries(self) -> list[Entry]:
         """The list: services and zones in turn."""
         cells = self.cells()
         return [
-            ListEntry(f"{cell_name(number % cells)}-{number:08x}", "10.0.0.1:8081", f"zone-{number % ZONES:02d}")
+            Entry(f"{cell_name(number % cells)}-{number:08x}", "10.0.0.1:8081", f"zone-{number % ZONES:02d}")
             for number in range(self.servers)
         ]
 
--- a/stackwheel/scale/surroundings.py
+++ b/stackwheel/scale/surroundings.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Sequence
 
 import h11
@@ -11,6 +12,8 @@
 
 from stackwheel import peers
 from stackwheel.scale.accounting import Traffic
+from stackwheel.scale.entries import IN_SERVICE, TERMINATED, TERMINATING, Entry
+from stackwheel.scale.listing import RegistryList
 from stackwheel.state.ids import digest
 from stackwheel.wire import timing
 from stackwheel.wire.datagrams import MOST_BYTES
@@ -20,28 +23,6 @@
 READ_BYTES = 64 * 1024
 RATE_OF_A_PEER = 1.0  # requests a second that a peer says it sends to each server: any figure costs the same
 PEER_PROXIES = 4
-IN_SERVICE, TERMINATING, TERMINATED = "in_service", "terminating", "terminated"
-
-
-class ListEntry(msgspec.Struct, rename="camel"):
-    """One server in the published list; the fields of the protocol page, in its order."""
-
-    instance_id: str
-    host_port: str
-    zone: str
-    machine_type: str = "m1"
-    cell: int = 0
-    lifecycle: str = IN_SERVICE
-    weight: float = 1.0
-    started_at_ms: int = 0
-
-
-class ListDocument(msgspec.Struct):
-    """An answer of discovery."""
-
-    generation: int
-    reset: bool
-    instances: Sequence[ListEntry]
 
 
 class ListFeed:
@@ -51,11 +32,10 @@
     step a change, servers in turn.
     """
 
-    def __init__(self, entries: Sequence[ListEntry], traffic: Traffic) -> None:
-        self.entries, self.traffic = list(entries), traffic
-        self.generation = 1
+    def __init__(self, entries: Sequence[Entry], traffic: Traffic) -> None:
+        self.entries, self.traffic = list(entries), traffic  # with those that have left, each at its place
+        self.list = RegistryList(entries)
         self.watches: dict[asyncio.StreamWriter, h11.Connection] = {}
-        self.changed_at: list[tuple[int, ListEntry]] = []
         self.place = 0  # of the server that is being restarted
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -66,7 +46,7 @@
             if "follow=1" in target:
                 await self.watch(http, reader, writer, since(target))
             else:
-                self.write(http, writer, self.document(None))
+                self.write(http, writer, self.list.whole_list())
                 writer.write(http.send(h11.EndOfMessage()))
                 await writer.drain()
 
@@ -85,28 +65,20 @@
     async def watch(
         self, http: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, known: int | None
     ) -> None:
-        self.write(http, writer, self.document(known))
+        self.write(http, writer, self.list.since(known))
         self.watches[writer] = http
-        told = self.generation
+        told = self.list.generation
         try:
             while not reader.at_eof():
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(reader.read(READ_BYTES), timing.BEAT / 1000.0)
                     continue
-                if told == self.generation:
+                if told == self.list.generation:
                     self.write(http, writer, b"\n")
-                told = self.generation
+                told = self.list.generation
         finally:
             del self.watches[writer]
 
-    def document(self, known: int | None) -> bytes:
-        """The whole list, or what came after a generation; as one line."""
-        if not known:
-            listed = [one for one in self.entries if one.lifecycle != TERMINATED]
-            return msgspec.json.encode(ListDocument(self.generation, True, listed)) + b"\n"
-        found = [one for at, one in self.changed_at if at > known]
-        return msgspec.json.encode(ListDocument(self.generation, False, found)) + b"\n"
-
     def change(self, count: int = 1) -> None:
         """Tell so many changes as one generation."""
         self.tell([self.next_step() for _ in range(count)])
@@ -118,17 +90,15 @@
                 self.entries[place] = msgspec.structs.replace(entry, lifecycle=TERMINATED)
         self.tell([entry for entry in self.entries if entry.zone == zone])
 
-    def tell(self, changed: Sequence[ListEntry]) -> None:
-        self.generation += 1
-        self.changed_at += [(self.generation, entry) for entry in changed]
-        line = msgspec.json.encode(ListDocument(self.generation, False, changed)) + b"\n"
+    def tell(self, changed: Sequence[Entry]) -> None:
+        line = self.list.apply(changed, time.monotonic())
         for writer, http in list(self.watches.items()):
             self.write(http, writer, line)
 
-    def next_step(self) -> ListEntry:
+    def next_step(self) -> Entry:
         entry = self.entries[self.place]
         if entry.lifecycle == TERMINATED:
-            changed = msgspec.structs.replace(entry, lifecycle=IN_SERVICE, started_at_ms=self.generation)
+            changed = msgspec.structs.replace(entry, lifecycle=IN_SERVICE, started_at_ms=self.list.generation + 1)
         else:
             after = TERMINATING if entry.lifecycle == IN_SERVICE else TERMINATED
             changed = msgspec.structs.replace(entry, lifecycle=after)
--- a/tests/scale/test_surroundings.py
+++ b/tests/scale/test_surroundings.py
@@ -10,7 +10,8 @@
 
 from stackwheel.interface import Availability
 from stackwheel.scale.accounting import Traffic
-from stackwheel.scale.surroundings import ListEntry, ListFeed, PeerPlanners, since
+from stackwheel.scale.entries import Entry
+from stackwheel.scale.surroundings import ListFeed, PeerPlanners, since
 from stackwheel.state.roster import Listing
 from stackwheel.wire.discovery import parse_listing
 
@@ -18,11 +19,11 @@
 
 
 def feed(count: int = 4) -> ListFeed:
-    return ListFeed([ListEntry(f"s-{n}", "10.0.0.1:80", f"zone-{n % 2:02d}") for n in range(count)], Traffic())
+    return ListFeed([Entry(f"s-{n}", "10.0.0.1:80", f"zone-{n % 2:02d}") for n in range(count)], Traffic())
 
 
 def told(found: ListFeed, known: int | None) -> Listing:
-    listing = parse_listing(found.document(known))
+    listing = parse_listing(found.list.since(known))
     assert isinstance(listing, Listing)
     return listing
 
@@ -39,7 +40,7 @@
     found = feed()
     seen = []
     for _ in range(4):
-        generation = found.generation
+        generation = found.list.generation
         found.change()
         (entry,) = told(found, generation).instances
         seen.append((entry.name, entry.availability, entry.started > 0))
