--- a/stackwheel/scale/bounds.py
+++ b/stackwheel/scale/bounds.py
@@ -16,8 +16,8 @@
 HOLLOW_MB = 50.0  # a process, before its planners
 RELAY_MB = 50.0
 REAL_PLANNER_MB = 35.0
-HOLLOW_PLANNER_MB = 0.15  # connection, parser, watch and tasks of one
-ENTRY_MB = 0.002  # one listed server, in the run, the registry, a relay or a hollow process
+HOLLOW_PLANNER_MB = 0.08  # connection, parser, watch and tasks of one; 0.05 as measured, with 50 entries held
+ENTRY_MB = 0.0015  # one listed server, in the run, the registry, a relay or a hollow process; 0.001 in a relay
 HELD_ENTRY_MB = 0.0006  # one entry held by one hollow planner, beside the entry itself that all share
 REAL_ENTRY_MB = 0.01  # one entry at a real planner with its tables
 
@@ -34,7 +34,8 @@
     planners: int  # hollow
     real_planners: int
     relays: int
-    held_entries: int  # of one planner, the largest
+    held_entries: int  # by all hollow planners together
+    real_entries: int  # by all real ones
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,8 +60,10 @@
         + REGISTRY_MB
         + 2 * listing
         + hollow * (HOLLOW_MB + listing)
-        + size.planners * (HOLLOW_PLANNER_MB + size.held_entries * HELD_ENTRY_MB)
-        + size.real_planners * (REAL_PLANNER_MB + size.held_entries * REAL_ENTRY_MB)
+        + size.planners * HOLLOW_PLANNER_MB
+        + size.held_entries * HELD_ENTRY_MB
+        + size.real_planners * REAL_PLANNER_MB
+        + size.real_entries * REAL_ENTRY_MB
         + size.relays * (RELAY_MB + listing)
     )
     return Estimate(memory, 2 + hollow + size.real_planners + size.relays)
--- a/stackwheel/scale/run.py
+++ b/stackwheel/scale/run.py
@@ -10,10 +10,11 @@
 import tempfile
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import TypeVar
 
+from stackwheel.cells.plan import Plan
 from stackwheel.scale import bounds
 from stackwheel.scale.bounds import Estimate, Size
 from stackwheel.scale.children import Child, Children, Role
@@ -42,8 +43,10 @@
 from stackwheel.scale.entries import Entry
 from stackwheel.scale.fleet import Shape, draw_fleet
 from stackwheel.scale.inforce import InForce, measure
-from stackwheel.scale.layout import Layout, Placed, peer_address, spread, whole_layout
+from stackwheel.scale.layout import WHOLE, Placed, peer_address, spread, whole_layout
+from stackwheel.scale.peers import SENT_MOST, bytes_per_cycle
 from stackwheel.scale.real import RealDifference, RealPlanner, compare_tables
+from stackwheel.scale.relays import Network, design_plan, relay_layout, start_relays
 from stackwheel.scale.report import (
     VERSION,
     Arguments,
@@ -64,7 +67,6 @@
 SETTLE_EVERY = 0.5
 SAMPLE_EVERY = 1.0
 REPORT_WITHIN = 120.0  # s for records and the comparison of 15,000 planners
-CELL_SERVERS = 512  # a cell's stated most, of which planners with relays hold one
 WRONG_SHOWN = 20
 DIGESTS_SHOWN = 5
 REAL_START_AT_ONCE = 4  # real planners that start together: each takes a core for a moment
@@ -87,8 +89,8 @@
 class Run:
     """All that one run owns."""
 
-    def __init__(self, arguments: Arguments, expected: Estimate, folder: Path, progress: Progress) -> None:
-        self.arguments, self.expected, self.folder, self.progress = arguments, expected, folder, progress
+    def __init__(self, arguments: Arguments, folder: Path, progress: Progress) -> None:
+        self.arguments, self.folder, self.progress = arguments, folder, progress
         self.children = Children(folder, bounds.PROCESSES_MOST)
         self.sampler = Sampler()
         self.fleet = draw_fleet(shape_of(arguments))
@@ -101,17 +103,46 @@
         )
         self.real_numbers = spread(range(len(self.fleet.planners)), arguments.real_planners)
         self.listed = {server.name for server in self.fleet.servers}
-        self.layout: Layout
+        self.peer_lock = held_port(socket.SOCK_DGRAM)
+        self.peer_port = int(self.peer_lock.getsockname()[1])
+        self.network = Network() if arguments.relays else None
+        self.plan = self.design() if self.network is not None else None
+        self.layout = relay_layout(self.fleet, self.plan) if self.plan else whole_layout(self.fleet, "")
+        self.expected: Estimate
         self.registry: Child
+        self.registry_address = ""
         self.hollow: dict[int, Child] = {}  # the process of each hollow planner
         self.real: dict[int, RealPlanner] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.traffic: list[tuple[Traffic, list[Traffic]]] = []  # of the registry and the hollow processes, by second
         self.duration = 0.0
 
+    def design(self) -> Plan:
+        """The plan of cells for this run's fleet and relays."""
+        assert self.network is not None
+        return design_plan(self.fleet, [self.network.host(number) for number in range(self.arguments.relays)])
+
+    def check(self) -> None:
+        """ScaleError where the machine can't hold the run."""
+        held = self.layout.held_entries(self.fleet)
+        real = sum(held[number] for number in self.real_numbers)
+        arguments = self.arguments
+        whole = arguments.whole_list_planners
+        self.expected = bounds.check(
+            Size(
+                arguments.servers,
+                arguments.planners,
+                arguments.real_planners + whole,
+                arguments.relays,
+                sum(held) - real,
+                real + whole * arguments.servers,
+            )
+        )
+
     async def run(self) -> Report:
         """From the first process to the report; every process has ended when it returns or fails."""
         try:
+            self.check()
             async with asyncio.timeout(START_WITHIN + self.arguments.duration + 2 * REPORT_WITHIN):
                 return await self.stages()
         finally:
@@ -120,6 +151,9 @@
             for planner in self.real.values():
                 planner.close()
             await self.children.end_all()
+            self.peer_lock.close()
+            if self.network is not None:
+                self.network.close()
 
     async def stages(self) -> Report:
         """Start, live, settle and report, one after another."""
@@ -136,8 +170,13 @@
         self.progress(f"registry with {self.arguments.servers} servers")
         self.registry = await self.children.start_module(Role.REGISTRY, "registry", "stackwheel.scale.registry")
         entries = [Entry(server.name, server.address, server.zone) for server in self.fleet.servers]
-        address = (await self.registry.ask(Load(HOST, entries), Ready)).address
-        self.layout = whole_layout(self.fleet, address)
+        address = self.registry_address = (await self.registry.ask(Load(HOST, entries), Ready)).address
+        if self.plan is None:
+            self.layout = whole_layout(self.fleet, address)
+        else:
+            self.progress(f"{len(self.plan.relays)} relays, {len(self.plan.cells)} cells")
+            await start_relays(self.children, self.folder, self.plan, address)
+            self.check_children()
 
     async def start_planners(self) -> float:
         """All planners, hollow and real; seconds until all of them hold a list."""
@@ -169,23 +208,42 @@
     def hollow_planner(self, placed: Placed, by_cell: dict[str, list[int]]) -> HollowPlanner:
         """One to be followed for. The cell's real planners send and get no datagrams."""
         others = [n for n in by_cell[placed.cell] if n != placed.number and n not in self.real_numbers]
-        peers = tuple(peer_address(number) for number in others) if placed.cell else ()
+        peers = tuple(peer_address(number, self.peer_port) for number in others) if placed.cell else ()
         seed = self.arguments.seed * 1_000_003 + placed.number
-        return HollowPlanner(placed.number, placed.cell, placed.discovery, seed, peer_address(placed.number), peers)
+        own = peer_address(placed.number, self.peer_port)
+        return HollowPlanner(placed.number, placed.cell, placed.discovery, seed, own, peers)
 
     async def start_real(self) -> None:
         """Real planners, a few at a time."""
         gate = asyncio.Semaphore(REAL_START_AT_ONCE)
-        await asyncio.gather(*(self.start_real_one(number, gate) for number in sorted(self.real_numbers)))
+        whole = range(self.arguments.whole_list_planners)
+        await asyncio.gather(
+            *(self.start_real_one(number, gate) for number in sorted(self.real_numbers)),
+            *(self.start_whole_list_one(place, gate) for place in whole),
+        )
 
     async def start_real_one(self, number: int, gate: asyncio.Semaphore) -> None:
         async with gate:
             planner = RealPlanner(
                 self.layout.placed[number], f"{HOST}:{free_port()}", self.listed, self.arguments.seed + number
             )
-            self.real[number] = planner
-            await planner.prepare(self.folder, HOST, sorted(self.fleet.regions))
-            await planner.start(self.children, self.folder)
+            await self.start_prepared(number, planner)
+
+    async def start_whole_list_one(self, place: int, gate: asyncio.Semaphore) -> None:
+        """One more real planner, which follows the registry itself as all do without relays."""
+        async with gate:
+            number = len(self.fleet.planners) + place
+            drawn = replace(self.fleet.planners[place % len(self.fleet.planners)], name=f"planner-whole-{place}")
+            placed = Placed(number, drawn, WHOLE, self.registry_address)
+            await self.start_prepared(
+                number,
+                RealPlanner(placed, f"{HOST}:{free_port()}", self.listed, number, Role.WHOLE_LIST_PLANNER),
+            )
+
+    async def start_prepared(self, number: int, planner: RealPlanner) -> None:
+        self.real[number] = planner
+        await planner.prepare(self.folder, HOST, sorted(self.fleet.regions))
+        await planner.start(self.children, self.folder)
 
     def hollow_processes(self) -> list[Child]:
         """Each once."""
@@ -254,16 +312,25 @@
         self.sampler.read(list(self.children.running))
         registry = await self.registry.ask(AskTraffic(), Traffic)
         hollow = await self.ask_hollow(AskTraffic(), Traffic)
+        now = time.monotonic()
         self.traffic.append((registry, hollow))
         hollow_in, hollow_out = sum(t.bytes_in for t in hollow), sum(t.bytes_out for t in hollow)
-        real_in = sum(planner.bytes_in() for planner in self.real.values())
-        real_out = sum(planner.bytes_out() for planner in self.real.values())
-        self.sampler.bytes[Role.REGISTRY].add(registry.bytes_in, registry.bytes_out)
-        self.sampler.bytes[Role.HOLLOW_PLANNER].add(hollow_in, hollow_out)
-        self.sampler.bytes[Role.REAL_PLANNER].add(real_in, real_out)
+        real_in, real_out = self.real_bytes(Role.REAL_PLANNER)
+        whole_in, whole_out = self.real_bytes(Role.WHOLE_LIST_PLANNER)
+        self.sampler.bytes[Role.REGISTRY].add(registry.bytes_in, registry.bytes_out, now)
+        self.sampler.bytes[Role.HOLLOW_PLANNER].add(hollow_in, hollow_out, now)
+        self.sampler.bytes[Role.REAL_PLANNER].add(real_in, real_out, now)
+        self.sampler.bytes[Role.WHOLE_LIST_PLANNER].add(whole_in, whole_out, now)
         list_in = hollow_in - sum(t.peer_bytes_in for t in hollow) + real_in
         list_out = hollow_out - sum(t.peer_bytes_out for t in hollow) + real_out
-        self.sampler.bytes[Role.RELAY].add(registry.bytes_out + list_out, registry.bytes_in + list_in)
+        self.sampler.bytes[Role.RELAY].add(
+            registry.bytes_out - whole_in + list_out, registry.bytes_in - whole_out + list_in, now
+        )
+
+    def real_bytes(self, role: Role) -> tuple[int, int]:
+        """What the real planners of a role had from discovery so far, and said to it."""
+        planners = [planner for planner in self.real.values() if planner.role is role]
+        return sum(one.bytes_in() for one in planners), sum(one.bytes_out() for one in planners)
 
     async def plant(self) -> None:
         """Lose an entry on purpose, where that was asked for."""
@@ -292,7 +359,7 @@
             *(self.compare_process(child, listed, by_cell, found) for child in self.hollow_processes())
         )
         for planner in self.real.values():
-            due = by_cell[planner.placed.cell]
+            due = by_cell[planner.placed.cell] if planner.placed.cell else listed.entries
             self.add_real(found, planner, compare_tables(planner.lines(), due), len(due))
         return found
 
@@ -329,12 +396,15 @@
             arguments=self.arguments,
             wrong_entries=findings.wrong,
             planners=findings.right,
-            planners_expected=len(self.fleet.planners),
+            planners_expected=len(self.fleet.planners) + self.arguments.whole_list_planners,
             entries_compared=findings.compared,
             in_force_ms=figures_of(in_force),
             registry=self.sampler.figures(Role.REGISTRY, 1, self.duration),
             relay=self.sampler.figures(Role.RELAY, self.arguments.relays, self.duration),
-            real_planner=self.sampler.figures(Role.REAL_PLANNER, len(self.real), self.duration),
+            real_planner=self.sampler.figures(Role.REAL_PLANNER, self.arguments.real_planners, self.duration),
+            whole_list_planner=self.sampler.figures(
+                Role.WHOLE_LIST_PLANNER, self.arguments.whole_list_planners, self.duration
+            ),
             hollow_planner=self.sampler.figures(Role.HOLLOW_PLANNER, len(self.hollow), self.duration),
             machine=machine(),
             bounds=self.bounds(),
@@ -378,6 +448,7 @@
         largest = sorted(servers, key=lambda cell: (-servers[cell], cell))[:DIGESTS_SHOWN]
         return CellNotes(
             len(servers),
+            max(self.fleet.sizes().values()),
             max(servers.values()),
             max(planners.values()),
             round(sum(servers[one.cell] for one in self.layout.placed) / len(self.layout.placed), 1),
@@ -392,15 +463,27 @@
         def rate(count: Callable[[Traffic], int]) -> float:
             return round((sum(map(count, last)) - sum(map(count, first))) / self.duration, 1)
 
+        read = self.datagram_bytes()
         return Datagrams(
-            rate(lambda t: t.datagrams_computed), rate(lambda t: t.datagrams_out), rate(lambda t: t.datagrams_in)
+            rate(lambda t: t.datagrams_computed),
+            rate(lambda t: t.datagrams_out),
+            rate(lambda t: t.datagrams_in),
+            round(sum(read) / len(read), 1),
+            max(read),
         )
 
+    def datagram_bytes(self) -> list[int]:
+        """What each planner would read a second, were all datagrams of its cell sent."""
+        held = self.layout.held_entries(self.fleet)
+        planners = {cell: len(numbers) for cell, numbers in self.layout.planners_by_cell().items()}
+        return [bytes_per_cycle(planners[one.cell], held[one.number]) for one in self.layout.placed]
+
     def notes(self, records: list[Records]) -> list[str]:
         """What a reader of the figures has to know."""
         found = [
             "core: processor time of the processes over the run; bytes: payload of TCP and UDP, counted at the sockets",
             "in force: of hollow planners",
+            f"datagrams: sent for real up to {SENT_MOST} a second from each hollow process, to each peer by itself",
         ]
         if self.real:
             found.append(
@@ -435,20 +518,22 @@
     return Shape(arguments.servers, arguments.zones, arguments.planners + arguments.real_planners, arguments.seed)
 
 
-def size_of(arguments: Arguments, held_entries: int) -> Size:
-    """What the estimate is made from."""
-    return Size(arguments.servers, arguments.planners, arguments.real_planners, arguments.relays, held_entries)
-
-
 def machine() -> Machine:
     """This machine."""
     memory = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") >> 20
     return Machine(os.cpu_count() or 1, memory, platform.python_version())
 
 
+def held_port(kind: socket.SocketKind) -> socket.socket:
+    """A socket on a port that nobody else has as long as it is open."""
+    found = socket.socket(socket.AF_INET, kind)
+    found.bind((HOST, 0))
+    return found
+
+
 def free_port() -> int:
     """A port that nobody listens on now."""
-    with socket.create_server((HOST, 0)) as found:
+    with held_port(socket.SOCK_STREAM) as found:
         return int(found.getsockname()[1])
 
 
@@ -462,7 +547,5 @@
 
 async def run_scale(arguments: Arguments, progress: Progress = lambda text: None) -> Report:
     """Make a run; ScaleError where the machine can't hold it, ControlError where one of its processes failed."""
-    held = arguments.servers if not arguments.relays else min(arguments.servers, CELL_SERVERS)
-    expected = bounds.check(size_of(arguments, held))
     with tempfile.TemporaryDirectory(prefix="stackwheel-scale-") as folder:
-        return await Run(arguments, expected, Path(folder), progress).run()
+        return await Run(arguments, Path(folder), progress).run()
