--- a/stackwheel/cli/scale_slopes.py
+++ b/stackwheel/cli/scale_slopes.py
@@ -10,7 +10,7 @@
 
 import click
 
-from stackwheel.scale.slopes import ResultError, read_result
+from stackwheel.scale.slopes import Result, ResultError, read_result
 
 Measured = TypeVar("Measured")
 RESULT = click.Path(dir_okay=False, path_type=Path)
@@ -23,19 +23,23 @@
 @click.option("--span", type=click.FloatRange(0.5, 600), default=6.0, show_default=True, help="s that are counted.")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="Of stand-ins and planner.")
 @click.option("--no-direct", is_flag=True, help="Leave out the whole points measured as such.")
-def slopes(out: Path, only: tuple[str, ...], repeats: int, span: float, seed: int, no_direct: bool) -> int:
-    """Measure what a real planner costs against each size; takes about seven minutes and up to two cores."""
+@click.option("--replace", is_flag=True, help="Keep what --out already holds beside what is measured now.")
+def slopes(
+    replace: bool, out: Path, only: tuple[str, ...], repeats: int, span: float, seed: int, no_direct: bool
+) -> int:
+    """Measure what a real planner costs against each size; takes about twelve minutes and up to two cores."""
     from stackwheel.scale import sweep
     from stackwheel.scale.bench import BenchError
     from stackwheel.scale.choice import time_choices
     from stackwheel.scale.points import DIRECT, PLANS
-    from stackwheel.scale.slopes import VERSION, Result, write_result
+    from stackwheel.scale.slopes import VERSION, merged, write_result
 
     known = {plan.name: plan for plan in PLANS}
     if unknown := [name for name in only if name not in known]:
         raise click.UsageError(f"no sweep {unknown[0]!r}; known are {', '.join(known)}")
     plans = [known[name] for name in only] or list(known.values())
     direct = [] if no_direct else list(DIRECT)
+    former = checked_result(out) if replace else None
     work = sweep.run_all(plans, direct, sweep.Timing(span), repeats, seed, lambda text: click.echo(text, err=True))
     try:
         measured, points = asyncio.run(until_told_to_stop(work))
@@ -45,7 +49,8 @@
         click.echo(f"stackwheel: {error}", err=True)
         return 1
     arguments = {"repeats": float(repeats), "span": span, "seed": float(seed)}
-    write_result(out, Result(VERSION, arguments, sweep.this_machine(), measured, points, time_choices()))
+    found = Result(VERSION, arguments, sweep.this_machine(), measured, points, time_choices())
+    write_result(out, found if former is None else merged(former, found))
     click.echo(f"written: {out}")
     return 0
 
@@ -57,14 +62,22 @@
     return await task
 
 
+def checked_result(path: Path) -> Result:
+    """The result in a file; a usage error (exit 2) if it cannot be used."""
+    try:
+        return read_result(path)
+    except ResultError as error:
+        raise click.UsageError(str(error)) from None
+
+
 def told(path: Path) -> str:
     """The generated part of docs/CAPACITY.md from a result file; a usage error (exit 2) if it cannot be used."""
     from stackwheel.scale.capacity_page import render
 
     try:
-        return render(read_result(path))
+        return render(checked_result(path))
     except ResultError as error:
-        raise click.UsageError(str(error)) from None
+        raise click.UsageError(f"{path}: {error}") from None
 
 
 @click.command()
--- a/stackwheel/scale/capacity_edge.py
+++ b/stackwheel/scale/capacity_edge.py
@@ -36,9 +36,8 @@
     """Without cells, then with them; the mean, the largest, the worst second."""
     whole = "48,000 servers, 85 zones, 5 proxies"
     found = model.result.sweep("planner", "list")
-    extrapolated = Cost(
-        *(found.fits[name].at(design.SERVERS) for name in SHOWN),
-    )
+    fits = [found.fits[name] for name in SHOWN]
+    extrapolated = Cost(*(fit.at(design.SERVERS) if fit.holds() else None for fit in fits))
     factor = found.fits["core"].factor(design.SERVERS)
     carried = f"{MISSING} while a planner is given the whole list; {SCOPE}"
     yield Row("planner", "whole list, mean", whole, model.usual("whole list"), "measured", carried, PLANNER_BUDGET)
--- a/stackwheel/scale/relay_bench.py
+++ b/stackwheel/scale/relay_bench.py
@@ -11,8 +11,9 @@
 
 from stackwheel.cells.plan import Cell, Limits, Plan, Relay, save_plan
 from stackwheel.scale.accounting import Channel
-from stackwheel.scale.bench import Bench, address_of, started
+from stackwheel.scale.bench import READY_SECONDS, Bench, BenchError, address_of, started
 from stackwheel.scale.points import ZONES, RelayPoint, cell_name
+from stackwheel.scale.proxies import until
 from stackwheel.scale.surroundings import HOST, LIST_PATH, READ_BYTES, ListFeed
 
 NAME, TWIN = "relay-0", "relay-1"
@@ -48,6 +49,8 @@
             process = await stack.enter_async_context(started(("relay", "--operators", str(operators)), {}))
             for number in range(self.point.watchers):
                 self.keep(self.watch(number, process))
+            if not await until(self.served, READY_SECONDS):
+                raise BenchError(f"{len(self.told)} of {self.point.watchers} watchers were told their part in time")
             yield process
 
     def plan(self) -> Plan:
--- a/stackwheel/scale/slopes.py
+++ b/stackwheel/scale/slopes.py
@@ -12,6 +12,7 @@
 
 VERSION = 1
 SIZES_LEAST = 4  # different sizes that a fit needs
+POOR = 0.5  # a residual over which a fit is no slope
 FLOOR = 1e-9  # a power law knows no zero
 
 
@@ -77,6 +78,10 @@
             return float(self.intercept * max(size, FLOOR) ** self.slope)
         return max(0.0, self.intercept + self.slope * size)
 
+    def holds(self) -> bool:
+        """Whether it says anything: not where the metric is mostly noise or nothing."""
+        return self.residual <= POOR
+
     def factor(self, size: float) -> float:
         """How far beyond the largest fitted size this is; 1 within."""
         return max(1.0, size / self.largest)
@@ -217,6 +222,16 @@
     beside.replace(path)
 
 
+def merged(former: Result, later: Result) -> Result:
+    """A result with those sweeps and points replaced that were measured again; the rest stays as it was."""
+    anew = {(sweep.role, sweep.variable): sweep for sweep in later.sweeps}
+    return msgspec.structs.replace(
+        later,
+        sweeps=[anew.pop((sweep.role, sweep.variable), sweep) for sweep in former.sweeps] + list(anew.values()),
+        direct={**former.direct, **later.direct},
+    )
+
+
 class _Versioned(msgspec.Struct):
     version: int
 
