--- a/stackwheel/scale/capacity_page.py
+++ b/stackwheel/scale/capacity_page.py
@@ -117,9 +117,8 @@
             if was <= 0 or not sweep.fits[name].holds():
                 continue
             error = f"{sweep.held_out.error[name]:+.0%}"
-            lines.append(
-                f"| {sweep.role}: {sweep.variable} | {sweep.held_out.size:g} | {name} | {figure(was)} | {figure(came)} | {error} |"
-            )
+            what = f"{sweep.role}: {sweep.variable} | {sweep.held_out.size:g} | {name}"
+            lines.append(f"| {what} | {figure(was)} | {figure(came)} | {error} |")
     return lines
 
 
--- a/tests/scale/test_slopes.py
+++ b/tests/scale/test_slopes.py
@@ -14,10 +14,12 @@
     Repeat,
     Result,
     ResultError,
+    Sweep,
     Usage,
     fit,
     fit_all,
     held_out,
+    merged,
     predict,
     read_result,
     write_result,
@@ -111,3 +113,25 @@
     path.write_bytes(b"[]")
     with pytest.raises(ResultError, match="Expected `object`"):
         read_result(path)
+
+
+def test_noise_is_no_slope() -> None:
+    assert fit(SIZES, SIZES).holds()
+    assert not fit(SIZES * 2, [1.0, 50.0, 2.0, 90.0, 60.0, 1.0, 70.0, 2.0]).holds()
+
+
+def test_what_is_measured_again_replaces_the_former_and_nothing_else() -> None:
+    def sweep(role: str, variable: str, value: float) -> Sweep:
+        return Sweep(role, variable, {}, [repeat(1.0, value)], {})
+
+    former = msgspec.structs.replace(
+        result(), sweeps=[sweep("planner", "servers", 1.0), sweep("relay", "servers", 1.0)]
+    )
+    later = msgspec.structs.replace(
+        result(), sweeps=[sweep("relay", "servers", 2.0), sweep("relay", "changes", 3.0)], direct={}
+    )
+    found = merged(former, later)
+    assert [(one.role, one.variable, one.repeats[0].usage.core) for one in found.sweeps] == [
+        ("planner", "servers", 1.0), ("relay", "servers", 2.0), ("relay", "changes", 3.0),
+    ]  # fmt: skip
+    assert found.direct == former.direct
--- a/tests/scale/test_sweep.py
+++ b/tests/scale/test_sweep.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from stackwheel.scale import sweep
+from stackwheel.scale import relay_bench, sweep
 from stackwheel.scale.bench import BenchError
 from stackwheel.scale.choice import time_choice
 from stackwheel.scale.planner_bench import PlannerBench
@@ -68,6 +68,16 @@
     asyncio.run(asyncio.wait_for(work(), WORK_MOST))
 
 
+def test_a_relay_that_has_not_told_its_watchers_is_not_measured(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(relay_bench, "READY_SECONDS", 0.0)
+
+    async def work() -> None:
+        with pytest.raises(BenchError, match="0 of 4 watchers were told"):
+            await measure(RelayPoint(servers=46, watchers=4), BRIEF, 1, 4.0)
+
+    asyncio.run(asyncio.wait_for(work(), WORK_MOST))
+
+
 def test_no_more_are_measured_side_by_side_than_asked_for(monkeypatch: pytest.MonkeyPatch) -> None:
     under_way: list[int] = [0, 0]
 
