--- a/stackwheel/scale/capacity.py
+++ b/stackwheel/scale/capacity.py
@@ -75,7 +75,8 @@
     def needs(self) -> dict[str, float]:
         """Need over budget, by what is budgeted."""
         cost, budget = self.cost, self.budget
-        control = None if cost.control_in is None else cost.control_in + (cost.control_out or 0.0)
+        told = [size for size in (cost.control_in, cost.control_out) if size is not None]
+        control = sum(told) if told else None
         pairs = {
             "core": (cost.core, budget.core),
             "memory": (cost.memory_mb, budget.memory_mb),
--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -58,6 +58,13 @@
     assert [(one.case, name, need) for one, name, need in found] == [("thrice", "core", 3.0), ("twice", "core", 2.0)]
 
 
+def test_bytes_count_against_the_budget_whichever_way_they_go() -> None:
+    budget = Budget(control_bytes=100.0)
+    costs = [Cost(control_in=150.0), Cost(control_out=150.0), Cost(control_in=50.0, control_out=100.0)]
+    assert [Row("discovery", "", "", cost, "", "", budget).worst() for cost in costs] == [("bytes", 1.5)] * 3
+    assert Row("discovery", "", "", Cost(data_out=150.0), "", "", budget).worst() is None
+
+
 def test_services_add_up_and_no_cell_is_over_its_limits() -> None:
     sizes = design.service_sizes()
     assert len(sizes) == design.SERVICES and sizes[0].servers == max(one.servers for one in sizes)
