Scale run: watches that end are counted; a relay killed on demand; services dealt over processes

Cause: failures counted ListFailed, which a client that always follows never posts, so the counter stayed 0 whatever happened; seen as a relay was killed in a test and it still said 0. Now each watch or call that ends is counted where the client ends it.

--- a/stackwheel/cli/scale.py
+++ b/stackwheel/cli/scale.py
@@ -59,6 +59,7 @@
     type=click.FloatRange(0, 10_000, min_open=True),
     help="Servers that drain, go and return a second; an ordinary day 60 times as fast if not given.",
 )
+@click.option("--fault", type=click.Choice(["kill-relay"]), help="Kill a relay at two fifths of the time.")
 @click.option("--plant", type=click.Choice(["drop-entry"]), help="Lose an entry on purpose; must exit 1.")
 @click.option("--json", "as_json", is_flag=True, help="Only JSON on standard output.")
 def run(
@@ -72,6 +73,7 @@
     duration: float,
     seed: int,
     event_rate: float | None,
+    fault: str | None,
     plant: str | None,
     as_json: bool,
 ) -> int:
@@ -80,6 +82,8 @@
         raise click.UsageError(f"--scenario is missing: {', '.join(SCENARIOS)}")
     if planners + real_planners == 0:
         raise click.UsageError("no planner: give --planners or --real-planners")
+    if fault and not relays:
+        raise click.UsageError("--fault kill-relay: give --relays")
     if whole_list_planners and not relays:
         raise click.UsageError("--whole-list-planners: without --relays all planners hold the whole list")
     if planners + real_planners > PLANNERS_MOST:
@@ -103,6 +107,7 @@
         event_rate if event_rate is not None else default_event_rate(servers),
         plant or "",
         whole_list_planners,
+        fault or "",
     )
     return made(arguments, as_json)
 
--- a/stackwheel/scale/children.py
+++ b/stackwheel/scale/children.py
@@ -39,6 +39,7 @@
     process: asyncio.subprocess.Process
     lines: Lines[Answer] | None = None
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)  # one request at a time
+    ending: bool = False  # the run itself ends it
 
     @property
     def pid(self) -> int:
@@ -115,10 +116,11 @@
 
     def ended(self) -> list[Child]:
         """Processes that have ended though nobody asked them to."""
-        return [child for child in self.running if child.process.returncode is not None]
+        return [child for child in self.running if child.process.returncode is not None and not child.ending]
 
     async def end(self, child: Child) -> None:
         """End one process: asked first, then killed."""
+        child.ending = True
         if child.process.returncode is None:
             if child.lines is not None:
                 with contextlib.suppress(ControlError, RuntimeError):
@@ -133,6 +135,13 @@
         if child in self.running:
             self.running.remove(child)
 
+    async def kill(self, child: Child) -> None:
+        """End one process as a crash does."""
+        child.ending = True
+        send(child, signal.SIGKILL)
+        await child.process.wait()
+        self.running.remove(child)
+
     async def end_all(self) -> None:
         """End every process that is left."""
         await asyncio.gather(*(self.end(child) for child in list(self.running)))
--- a/stackwheel/scale/hollow.py
+++ b/stackwheel/scale/hollow.py
@@ -44,6 +44,7 @@
 from stackwheel.state.module import ListFailed
 from stackwheel.state.roster import Listing
 from stackwheel.wire.discovery import LIFECYCLES, Discovery
+from stackwheel.wire.http import CallFailed
 
 ASK_WITHIN = 10_000.0  # ms: `obligations.ask_within` of the example configuration; it bounds the back-off
 START_STEP = 0.002  # s between the planners of a process that begin to follow, so that a start is no herd
@@ -88,12 +89,24 @@
         transport.write = counted_write
 
 
+class CountedDiscovery(Discovery):
+    """The planner's own client, which counts the calls and watches that ended: each of them is a failure."""
+
+    failures = 0
+
+    async def follow(self, address: str, replica: str) -> tuple[bool, CallFailed]:
+        """One watch at one replica until its end."""
+        ended = await super().follow(address, replica)
+        self.failures += 1
+        return ended
+
+
 class Follower:
     """One hollow planner: its watch, and what it holds."""
 
     def __init__(self, planner: HollowPlanner, shared: Shared, records: InForceRecords) -> None:
         self.planner, self.shared, self.records = planner, shared, records
-        self.failures, self.lives = 0, 0
+        self.former_failures, self.lives = 0, 0
         self.ended = 0.0  # s, when it ended to start anew
         self.task: asyncio.Task[None] | None = None
         self.begin()
@@ -103,7 +116,7 @@
         self.lives += 1
         self.holding = Holding(self.shared)
         self.holds = False
-        self.discovery = Discovery(
+        self.discovery = CountedDiscovery(
             self.planner.discovery,
             0,
             True,
@@ -122,12 +135,16 @@
 
     def restart(self) -> None:
         self.ended = time.monotonic()
+        self.former_failures = self.failures()
         self.end()
         self.begin()
 
+    def failures(self) -> int:
+        """Calls and watches that ended, in all its lives; not those that it ended itself."""
+        return self.former_failures + self.discovery.failures
+
     def told(self, item: Listing | ListFailed) -> None:
         if isinstance(item, ListFailed):
-            self.failures += 1
             return
         changed = self.holding.take(item, 1000.0 * time.monotonic())
         now = time.monotonic()
@@ -188,7 +205,7 @@
             self.peers.datagrams_in,
             self.peers.datagrams_out,
             self.peers.datagrams_computed,
-            sum(follower.failures for follower in self.followers.values()),
+            sum(follower.failures() for follower in self.followers.values()),
         )
 
     def held(self) -> Held:
--- a/stackwheel/scale/layout.py
+++ b/stackwheel/scale/layout.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from stackwheel.scale.entries import Entry
@@ -12,6 +12,8 @@
 WHOLE = ""  # the cell of a planner that follows the registry itself: the whole list
 PEER_NET = "127.1"  # every hollow planner has an address of its own on the loopback network, 65,536 at most
 
+PIECE_MOST = 16  # planners of a cell that are dealt together; a plan's cells have no more by default
+
 CellOfServer = Callable[[str, str], str | None]  # of a server's name and zone
 
 
@@ -75,6 +77,25 @@
     return f"{PEER_NET}.{number >> 8}.{number & 255}:{port}"
 
 
-def spread(numbers: range, count: int) -> frozenset[int]:
-    """So many of the numbers, at even steps: these planners are real ones."""
-    return frozenset(numbers[place * len(numbers) // count] for place in range(count))
+def choose_real(planners: int, count: int, restarted: Sequence[int]) -> frozenset[int]:
+    """The numbers of the real planners: at even steps, the first of them among those that a restart names."""
+    chosen = [place * planners // count for place in range(count)]
+    if chosen and restarted and not set(chosen) & set(restarted):
+        chosen[0] = restarted[0]
+    return frozenset(chosen)
+
+
+def deal(placed: Iterable[Placed], processes: int) -> list[list[int]]:
+    """The planners of each hollow process, as many in each, give or take a piece of a cell.
+
+    Planners of a cell stay together, as their entries are shared; a service's cells are dealt over all processes, as
+    what happens to one service would otherwise be waited for in one process.
+    """
+    cells: defaultdict[str, list[int]] = defaultdict(list)
+    for one in placed:
+        cells[one.cell].append(one.number)
+    groups: list[list[int]] = [[] for _ in range(processes)]
+    for _, numbers in sorted(cells.items()):
+        for first in range(0, len(numbers), PIECE_MOST):
+            min(groups, key=len).extend(numbers[first : first + PIECE_MOST])
+    return groups
--- a/stackwheel/scale/real.py
+++ b/stackwheel/scale/real.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import json
-import signal
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -167,7 +166,6 @@
     async def restart(self, children: Children, folder: Path) -> None:
         """End it as a restart does, and start it anew."""
         if self.child is not None:
-            self.child.process.send_signal(signal.SIGTERM)
             await children.end(self.child)
         await self.start(children, folder)
 
--- a/stackwheel/scale/report.py
+++ b/stackwheel/scale/report.py
@@ -27,6 +27,7 @@
     event_rate: float  # servers a second that drain, leave and return
     plant: str = ""
     whole_list_planners: int = 0
+    fault: str = ""
 
 
 class RoleFigures(msgspec.Struct, frozen=True):
--- a/stackwheel/scale/run.py
+++ b/stackwheel/scale/run.py
@@ -43,7 +43,7 @@
 from stackwheel.scale.entries import Entry
 from stackwheel.scale.fleet import Shape, draw_fleet
 from stackwheel.scale.inforce import InForce, measure
-from stackwheel.scale.layout import WHOLE, Placed, peer_address, spread, whole_layout
+from stackwheel.scale.layout import WHOLE, Placed, choose_real, deal, peer_address, whole_layout
 from stackwheel.scale.peers import SENT_MOST, bytes_per_cycle
 from stackwheel.scale.real import RealDifference, RealPlanner, compare_tables
 from stackwheel.scale.relays import Network, design_plan, relay_layout, start_relays
@@ -59,7 +59,7 @@
     Report,
 )
 from stackwheel.scale.sampling import Sampler
-from stackwheel.scale.scenarios import Scenario, Schedule, ServerChange, draw_schedule
+from stackwheel.scale.scenarios import Scenario, Schedule, ServerChange, draw_schedule, largest_group
 
 HOST = "127.0.0.1"
 START_WITHIN = 180.0  # s for all planners to hold a list; 15,000 on a busy machine take a good part of it
@@ -67,6 +67,7 @@
 SETTLE_EVERY = 0.5
 SAMPLE_EVERY = 1.0
 REPORT_WITHIN = 120.0  # s for records and the comparison of 15,000 planners
+FAULT_AT = 0.4  # of the duration
 WRONG_SHOWN = 20
 DIGESTS_SHOWN = 5
 REAL_START_AT_ONCE = 4  # real planners that start together: each takes a core for a moment
@@ -101,7 +102,7 @@
             arguments.event_rate,
             arguments.seed,
         )
-        self.real_numbers = spread(range(len(self.fleet.planners)), arguments.real_planners)
+        self.real_numbers = choose_real(len(self.fleet.planners), arguments.real_planners, largest_group(self.fleet))
         self.listed = {server.name for server in self.fleet.servers}
         self.peer_lock = held_port(socket.SOCK_DGRAM)
         self.peer_port = int(self.peer_lock.getsockname()[1])
@@ -189,12 +190,10 @@
         return time.monotonic() - began
 
     async def start_hollow(self) -> None:
-        """Planners of a cell share a process where they can: their entries and datagrams do too."""
-        numbers = [one.number for one in self.layout.placed if one.number not in self.real_numbers]
-        numbers.sort(key=lambda number: (self.layout.placed[number].cell, number))
-        size = bounds.PLANNERS_A_PROCESS
-        groups = [numbers[first : first + size] for first in range(0, len(numbers), size)]
-        self.progress(f"{len(numbers)} hollow planners in {len(groups)} processes")
+        """All hollow planners, in as few processes as hold them."""
+        hollow = [one for one in self.layout.placed if one.number not in self.real_numbers]
+        groups = deal(hollow, bounds.hollow_processes(len(hollow)))
+        self.progress(f"{len(hollow)} hollow planners in {len(groups)} processes")
         await asyncio.gather(*(self.start_group(place, group) for place, group in enumerate(groups)))
 
     async def start_group(self, place: int, numbers: list[int]) -> None:
@@ -273,7 +272,10 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.make_changes(began))
                 group.create_task(self.make_restarts(began))
+                group.create_task(self.make_fault(began))
                 group.create_task(self.wait(began, self.arguments.duration))
+        except* ControlError as errors:
+            raise first_of(errors) from None
         finally:
             sampling.cancel()
         await self.sample()
@@ -302,6 +304,14 @@
             real = [self.real[number] for number in restart.planners if number in self.real]
             await asyncio.gather(*(planner.restart(self.children, self.folder) for planner in real))
 
+    async def make_fault(self, began: float) -> None:
+        """Kill a relay, where that was asked for; its cells go on with their other one."""
+        if self.arguments.fault:
+            await asyncio.sleep(max(0.0, began + FAULT_AT * self.arguments.duration - time.monotonic()))
+            victim = self.children.of(Role.RELAY)[0]
+            self.progress(f"{victim.name} is killed")
+            await self.children.kill(victim)
+
     async def sample_on(self) -> None:
         while True:
             await asyncio.sleep(SAMPLE_EVERY)
@@ -496,6 +506,12 @@
         return found
 
 
+def first_of(errors: ExceptionGroup[ControlError]) -> ControlError:
+    """One error of a group: the others follow from it."""
+    found = errors.exceptions[0]
+    return first_of(found) if isinstance(found, ExceptionGroup) else found
+
+
 def agreed(digests: set[str]) -> str:
     """The one digest of a cell's planners; nothing where they differ."""
     return next(iter(digests)) if len(digests) == 1 else ""
--- a/tests/scale/test_relays.py
+++ b/tests/scale/test_relays.py
@@ -8,7 +8,7 @@
 
 from stackwheel.scale.entries import Entry
 from stackwheel.scale.fleet import Fleet, Shape, draw_fleet
-from stackwheel.scale.layout import Layout, peer_address, spread, whole_layout
+from stackwheel.scale.layout import Layout, choose_real, deal, peer_address, whole_layout
 from stackwheel.scale.relays import Network, design_plan, relay_layout
 
 HOSTS = ["127.0.1.1", "127.0.1.2", "127.0.1.3"]
@@ -51,8 +51,28 @@
     assert all(len(found) == 1_900 for found in layout.planners_of_servers(fleet).values())
 
 
-def test_real_planners_are_spread_over_all() -> None:
-    assert spread(range(100), 4) == {0, 25, 50, 75} and spread(range(3), 3) == {0, 1, 2} and not spread(range(3), 0)
+def test_real_planners_are_spread_over_all_and_one_is_restarted() -> None:
+    assert choose_real(100, 4, [25, 26]) == {0, 25, 50, 75} and choose_real(3, 3, [1]) == {0, 1, 2}
+    assert choose_real(100, 4, [7, 8]) == {7, 25, 50, 75} and choose_real(3, 0, [1]) == frozenset()
+
+
+def test_hollow_planners_are_dealt_evenly_and_cells_stay_together(layout: Layout) -> None:
+    groups = deal(layout.placed, 3)
+    assert sorted(number for group in groups for number in group) == list(range(1_900))
+    assert max(map(len, groups)) - min(map(len, groups)) <= 16
+    homes: dict[str, set[int]] = {}
+    for place, group in enumerate(groups):
+        for number in group:
+            homes.setdefault(layout.placed[number].cell, set()).add(place)
+    assert all(len(found) == 1 for found in homes.values())
+    largest = max(
+        {one.planner.service for one in layout.placed}, key=lambda s: sum(o.planner.service == s for o in layout.placed)
+    )
+    assert len(set.union(*(homes[one.cell] for one in layout.placed if one.planner.service == largest))) == 3
+
+
+def test_planners_of_one_whole_list_are_dealt_too(fleet: Fleet) -> None:
+    assert max(map(len, deal(whole_layout(fleet, "").placed, 2))) <= 960 and deal([], 0) == []
 
 
 def test_datagram_addresses_are_all_different() -> None:
--- a/tests/scale/test_run.py
+++ b/tests/scale/test_run.py
@@ -46,22 +46,24 @@
 
 
 def test_a_restart_ends_right_and_shows_a_table() -> None:
-    done = call("--scenario", "restart", *SMALL, "--zones", "2")
+    done = call("--scenario", "restart", *SMALL, "--zones", "2", "--real-planners", "1")
     found = json.loads(done.stdout.splitlines()[-1])
-    assert done.returncode == 0 and len(done.stdout.splitlines()) > 5 and "20 of 20 planners right" in done.stdout
+    assert done.returncode == 0 and len(done.stdout.splitlines()) > 5 and "21 of 21 planners right" in done.stdout
     assert found["wrong_entries"] == 0 and found["in_force_ms"]["missing"] == 0 and found["in_force_ms"]["count"] > 20
 
 
-def test_planners_behind_relays_end_right_with_their_cells() -> None:
-    done = call(
-        "--scenario", "churn", *SMALL, "--relays", "2", "--real-planners", "1", "--whole-list-planners", "1", "--json"
-    )
+BEHIND = ("--relays", "2", "--real-planners", "1", "--whole-list-planners", "1", "--fault", "kill-relay")
+
+
+def test_planners_behind_relays_end_right_with_their_cells_though_one_is_killed() -> None:
+    done = call("--scenario", "churn", *SMALL, *BEHIND, "--json")
     found = json.loads(done.stdout.splitlines()[-1])
     assert done.returncode == 0, done.stderr
     assert found["wrong_entries"] == 0 and found["planners"] == 22 and found["in_force_ms"]["missing"] == 0
     assert found["cells"]["cells"] > 1 and 200 < found["entries_compared"] < 21 * 200
     assert found["relay"]["count"] == 2 and found["relay"]["core"] > 0 and found["relay"]["bytes_out_per_s"] > 0
     assert found["whole_list_planner"]["bytes_in_per_s"] > found["real_planner"]["bytes_in_per_s"] > 0
+    assert found["failures"] > 0  # watches at the relay that was killed
     assert found["datagrams"]["computed_per_s"] > 0 and found["datagrams"]["sent_per_s"] > 0
 
 
@@ -86,6 +88,7 @@
         (("--scenario", "churn", "--servers", "48000", "--planners", "15000"), "MB are the most"),
         (("--scenario", "churn", "--planners", "65536", "--real-planners", "1"), "65537 planners"),
         (("--scenario", "churn", "--whole-list-planners", "1"), "without --relays"),
+        (("--scenario", "churn", "--fault", "kill-relay"), "give --relays"),
         ((), "--scenario"),
     ],
 )
@@ -116,6 +119,26 @@
         return False
 
 
+def test_a_process_that_dies_ends_the_run_with_a_line() -> None:
+    words = ("--scenario", "churn", "--servers", "200", "--planners", "5", "--duration", "60")
+    run = subprocess.Popen(
+        [sys.executable, "-m", "stackwheel", "scale", "run", *words, "--json"],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    deadline = time.monotonic() + 30
+    while len(children := children_of(run.pid)) < 2:
+        assert time.monotonic() < deadline and run.poll() is None
+        time.sleep(0.05)
+    os.kill(max(children), signal.SIGKILL)
+    out, told = run.communicate(timeout=30)
+    assert run.returncode == 2 and out == "" and "Traceback" not in told
+    assert told.splitlines()[-1].startswith("stackwheel: ")
+    assert not any(map(alive, children))
+
+
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
 def test_an_interrupted_run_leaves_no_process(number: signal.Signals) -> None:
     words = ("--scenario", "churn", "--servers", "200", "--planners", "5", "--real-planners", "1", "--duration", "60")
