--- a/stackwheel/scale/run.py
+++ b/stackwheel/scale/run.py
@@ -4,13 +4,10 @@
 
 import asyncio
 import contextlib
-import os
-import platform
 import socket
 import tempfile
 import time
-from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from pathlib import Path
 from typing import TypeVar
 
@@ -21,11 +18,8 @@
 from stackwheel.scale.control import (
     Apply,
     AskHeld,
-    AskList,
     AskRecords,
     AskTraffic,
-    Compare,
-    Compared,
     ControlError,
     DropEntry,
     Follow,
@@ -38,28 +32,16 @@
     Records,
     Restart,
     Traffic,
-    WholeList,
 )
 from stackwheel.scale.entries import Entry
+from stackwheel.scale.findings import Findings, compare_all
 from stackwheel.scale.fleet import Shape, draw_fleet
-from stackwheel.scale.inforce import InForce, measure
 from stackwheel.scale.layout import WHOLE, Placed, choose_real, deal, peer_address, whole_layout
-from stackwheel.scale.peers import SENT_MOST, bytes_per_cycle
-from stackwheel.scale.real import RealDifference, RealPlanner, compare_tables
+from stackwheel.scale.real import RealPlanner
 from stackwheel.scale.relays import Network, design_plan, relay_layout, start_relays
-from stackwheel.scale.report import (
-    VERSION,
-    Arguments,
-    Bounds,
-    CellNotes,
-    Datagrams,
-    InForceFigures,
-    Machine,
-    Progress,
-    Report,
-)
-from stackwheel.scale.sampling import Sampler
+from stackwheel.scale.report import Arguments, Progress, Report
 from stackwheel.scale.scenarios import Scenario, Schedule, ServerChange, draw_schedule, largest_group
+from stackwheel.scale.summary import Outcome, make_report
 
 HOST = "127.0.0.1"
 START_WITHIN = 180.0  # s for all planners to hold a list; 15,000 on a busy machine take a good part of it
@@ -68,32 +50,17 @@
 SAMPLE_EVERY = 1.0
 REPORT_WITHIN = 120.0  # s for records and the comparison of 15,000 planners
 FAULT_AT = 0.4  # of the duration
-WRONG_SHOWN = 20
-DIGESTS_SHOWN = 5
 REAL_START_AT_ONCE = 4  # real planners that start together: each takes a core for a moment
 
 M = TypeVar("M", bound=Message)
 
 
-@dataclass(slots=True)
-class Findings:
-    """What the comparison at the end found."""
-
-    compared: int = 0
-    right: int = 0
-    wrong: int = 0
-    examples: list[str] = field(default_factory=list)
-    digests: dict[str, set[str]] = field(default_factory=dict)
-    listed: WholeList | None = None
-
-
 class Run:
     """All that one run owns."""
 
     def __init__(self, arguments: Arguments, folder: Path, progress: Progress) -> None:
         self.arguments, self.folder, self.progress = arguments, folder, progress
         self.children = Children(folder, bounds.PROCESSES_MOST)
-        self.sampler = Sampler()
         self.fleet = draw_fleet(shape_of(arguments))
         self.schedule: Schedule = draw_schedule(
             self.fleet,
@@ -109,27 +76,23 @@
         self.network = Network() if arguments.relays else None
         self.plan = self.design() if self.network is not None else None
         self.layout = relay_layout(self.fleet, self.plan) if self.plan else whole_layout(self.fleet, "")
-        self.expected: Estimate
+        self.outcome: Outcome
         self.registry: Child
         self.registry_address = ""
         self.hollow: dict[int, Child] = {}  # the process of each hollow planner
         self.real: dict[int, RealPlanner] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
-        self.traffic: list[tuple[Traffic, list[Traffic]]] = []  # of the registry and the hollow processes, by second
-        self.duration = 0.0
 
     def design(self) -> Plan:
         """The plan of cells for this run's fleet and relays."""
         assert self.network is not None
         return design_plan(self.fleet, [self.network.host(number) for number in range(self.arguments.relays)])
 
-    def check(self) -> None:
-        """ScaleError where the machine can't hold the run."""
-        held = self.layout.held_entries(self.fleet)
+    def estimate(self) -> Estimate:
+        """What this run takes; ScaleError where the machine can't hold that."""
+        held, arguments = self.layout.held_entries(self.fleet), self.arguments
         real = sum(held[number] for number in self.real_numbers)
-        arguments = self.arguments
         whole = arguments.whole_list_planners
-        self.expected = bounds.check(
+        return bounds.check(
             Size(
                 arguments.servers,
                 arguments.planners,
@@ -143,12 +106,11 @@
     async def run(self) -> Report:
         """From the first process to the report; every process has ended when it returns or fails."""
         try:
-            self.check()
+            hollow = frozenset(range(len(self.fleet.planners))) - self.real_numbers
+            self.outcome = Outcome(self.arguments, self.fleet, self.layout, hollow, self.estimate())
             async with asyncio.timeout(START_WITHIN + self.arguments.duration + 2 * REPORT_WITHIN):
                 return await self.stages()
         finally:
-            for task in self.tasks:
-                task.cancel()
             for planner in self.real.values():
                 planner.close()
             await self.children.end_all()
@@ -160,12 +122,13 @@
         """Start, live, settle and report, one after another."""
         async with asyncio.timeout(START_WITHIN):
             await self.start_registry()
-            ready = await self.start_planners()
+            self.outcome.ready = await self.start_planners()
         await self.live()
         settling = time.monotonic()
         await self.plant()
         findings = await self.settle()
-        return await self.report(findings, ready, time.monotonic() - settling)
+        self.outcome.settled = time.monotonic() - settling
+        return await self.report(findings)
 
     async def start_registry(self) -> None:
         self.progress(f"registry with {self.arguments.servers} servers")
@@ -173,7 +136,7 @@
         entries = [Entry(server.name, server.address, server.zone) for server in self.fleet.servers]
         address = self.registry_address = (await self.registry.ask(Load(HOST, entries), Ready)).address
         if self.plan is None:
-            self.layout = whole_layout(self.fleet, address)
+            self.layout = self.outcome.layout = whole_layout(self.fleet, address)
         else:
             self.progress(f"{len(self.plan.relays)} relays, {len(self.plan.cells)} cells")
             await start_relays(self.children, self.folder, self.plan, address)
@@ -279,7 +242,7 @@
         finally:
             sampling.cancel()
         await self.sample()
-        self.duration = time.monotonic() - began
+        self.outcome.duration = time.monotonic() - began
 
     async def wait(self, began: float, until: float) -> None:
         """Until so many seconds of the run have passed; a process that ends meanwhile ends the run."""
@@ -319,21 +282,21 @@
 
     async def sample(self) -> None:
         """One reading of all processes and counters."""
-        self.sampler.read(list(self.children.running))
+        self.outcome.sampler.read(list(self.children.running))
         registry = await self.registry.ask(AskTraffic(), Traffic)
         hollow = await self.ask_hollow(AskTraffic(), Traffic)
         now = time.monotonic()
-        self.traffic.append((registry, hollow))
+        self.outcome.traffic.append((registry, hollow))
         hollow_in, hollow_out = sum(t.bytes_in for t in hollow), sum(t.bytes_out for t in hollow)
         real_in, real_out = self.real_bytes(Role.REAL_PLANNER)
         whole_in, whole_out = self.real_bytes(Role.WHOLE_LIST_PLANNER)
-        self.sampler.bytes[Role.REGISTRY].add(registry.bytes_in, registry.bytes_out, now)
-        self.sampler.bytes[Role.HOLLOW_PLANNER].add(hollow_in, hollow_out, now)
-        self.sampler.bytes[Role.REAL_PLANNER].add(real_in, real_out, now)
-        self.sampler.bytes[Role.WHOLE_LIST_PLANNER].add(whole_in, whole_out, now)
+        self.outcome.sampler.bytes[Role.REGISTRY].add(registry.bytes_in, registry.bytes_out, now)
+        self.outcome.sampler.bytes[Role.HOLLOW_PLANNER].add(hollow_in, hollow_out, now)
+        self.outcome.sampler.bytes[Role.REAL_PLANNER].add(real_in, real_out, now)
+        self.outcome.sampler.bytes[Role.WHOLE_LIST_PLANNER].add(whole_in, whole_out, now)
         list_in = hollow_in - sum(t.peer_bytes_in for t in hollow) + real_in
         list_out = hollow_out - sum(t.peer_bytes_out for t in hollow) + real_out
-        self.sampler.bytes[Role.RELAY].add(
+        self.outcome.sampler.bytes[Role.RELAY].add(
             registry.bytes_out - whole_in + list_out, registry.bytes_in - whole_out + list_in, now
         )
 
@@ -354,156 +317,18 @@
         async with asyncio.timeout(REPORT_WITHIN):
             while True:
                 asked = time.monotonic()
-                findings = await self.compare()
+                findings = await compare_all(self.registry, self.layout, self.hollow, self.real.values())
                 if findings.wrong == 0 or asked > began + SETTLE_WITHIN:
                     return findings
                 self.progress(f"{findings.wrong} entries wrong, settling")
                 await asyncio.sleep(SETTLE_EVERY)
 
-    async def compare(self) -> Findings:
-        """What every planner holds against what the registry lists for it."""
-        listed = await self.registry.ask(AskList(), WholeList)
-        by_cell = self.layout.entries_by_cell(listed.entries)
-        found = Findings(listed=listed)
-        await asyncio.gather(
-            *(self.compare_process(child, listed, by_cell, found) for child in self.hollow_processes())
-        )
-        for planner in self.real.values():
-            due = by_cell[planner.placed.cell] if planner.placed.cell else listed.entries
-            self.add_real(found, planner, compare_tables(planner.lines(), due), len(due))
-        return found
-
-    async def compare_process(
-        self, child: Child, listed: WholeList, by_cell: dict[str, list[Entry]], found: Findings
-    ) -> None:
-        cells = {self.layout.placed[number].cell for number, own in self.hollow.items() if own is child}
-        result = await child.ask(Compare(listed.generation, {cell: by_cell[cell] for cell in cells}), Compared)
-        found.compared += result.entries
-        found.right += result.right
-        found.wrong += sum(one.wrong for one in result.wrong)
-        for one in result.wrong:
-            found.examples.append(f"{self.fleet.planners[one.planner].name}: {one.wrong} wrong, {one.example}")
-        for cell, digests in result.digests.items():
-            found.digests.setdefault(cell, set()).update(digests)
-
-    def add_real(self, found: Findings, planner: RealPlanner, difference: RealDifference, due: int) -> None:
-        found.compared += due
-        found.wrong += difference.count()
-        found.right += difference.count() == 0
-        if difference.count():
-            name = planner.placed.planner.name
-            found.examples.append(f"{name} (real): {difference.count()} wrong, {difference.example()}")
-
-    async def report(self, findings: Findings, ready: float, settled: float) -> Report:
+    async def report(self, findings: Findings) -> Report:
         """Gather the records and make the report of them."""
         self.progress("records")
         async with asyncio.timeout(REPORT_WITHIN):
-            records = await self.ask_hollow(AskRecords(), Records)
-        assert findings.listed is not None
-        in_force = await asyncio.to_thread(self.in_force, findings.listed, records)
-        return Report(
-            version=VERSION,
-            arguments=self.arguments,
-            wrong_entries=findings.wrong,
-            planners=findings.right,
-            planners_expected=len(self.fleet.planners) + self.arguments.whole_list_planners,
-            entries_compared=findings.compared,
-            in_force_ms=figures_of(in_force),
-            registry=self.sampler.figures(Role.REGISTRY, 1, self.duration),
-            relay=self.sampler.figures(Role.RELAY, self.arguments.relays, self.duration),
-            real_planner=self.sampler.figures(Role.REAL_PLANNER, self.arguments.real_planners, self.duration),
-            whole_list_planner=self.sampler.figures(
-                Role.WHOLE_LIST_PLANNER, self.arguments.whole_list_planners, self.duration
-            ),
-            hollow_planner=self.sampler.figures(Role.HOLLOW_PLANNER, len(self.hollow), self.duration),
-            machine=machine(),
-            bounds=self.bounds(),
-            cells=self.cell_notes(findings),
-            datagrams=self.datagrams(),
-            changes=len(findings.listed.changes),
-            generation=findings.listed.generation,
-            duration_s=round(self.duration, 3),
-            ready_s=round(ready, 3),
-            settle_s=round(settled, 3),
-            failures=sum(t.failures for t in self.traffic[-1][1]),
-            refused=self.traffic[-1][0].failures,
-            wrong=findings.examples[:WRONG_SHOWN],
-            notes=self.notes(records),
-        )
-
-    def in_force(self, listed: WholeList, records: list[Records]) -> InForce:
-        """Of hollow planners: a real one does not tell when it took a change in."""
-        due = {
-            name: [number for number in numbers if number in self.hollow]
-            for name, numbers in self.layout.planners_of_servers(self.fleet).items()
-        }
-        entries = (entry for one in records for entry in one.entries)
-        restarts = (restart for one in records for restart in one.restarts)
-        return measure(listed.changes, entries, due, restarts)
-
-    def bounds(self) -> Bounds:
-        return Bounds(
-            bounds.MEMORY_MOST_MB,
-            bounds.PROCESSES_MOST,
-            round(self.expected.memory_mb, 1),
-            self.expected.processes,
-            round(self.sampler.memory_most, 1),
-            self.sampler.processes_most,
-        )
-
-    def cell_notes(self, findings: Findings) -> CellNotes:
-        assert findings.listed is not None
-        servers = {cell: len(due) for cell, due in self.layout.entries_by_cell(findings.listed.entries).items()}
-        planners = {cell: len(numbers) for cell, numbers in self.layout.planners_by_cell().items()}
-        largest = sorted(servers, key=lambda cell: (-servers[cell], cell))[:DIGESTS_SHOWN]
-        return CellNotes(
-            len(servers),
-            max(self.fleet.sizes().values()),
-            max(servers.values()),
-            max(planners.values()),
-            round(sum(servers[one.cell] for one in self.layout.placed) / len(self.layout.placed), 1),
-            {cell or "all": agreed(findings.digests.get(cell, set())) for cell in largest},
-        )
-
-    def datagrams(self) -> Datagrams:
-        if self.duration <= 0:
-            return Datagrams()
-        first, last = self.traffic[0][1], self.traffic[-1][1]
-
-        def rate(count: Callable[[Traffic], int]) -> float:
-            return round((sum(map(count, last)) - sum(map(count, first))) / self.duration, 1)
-
-        read = self.datagram_bytes()
-        return Datagrams(
-            rate(lambda t: t.datagrams_computed),
-            rate(lambda t: t.datagrams_out),
-            rate(lambda t: t.datagrams_in),
-            round(sum(read) / len(read), 1),
-            max(read),
-        )
-
-    def datagram_bytes(self) -> list[int]:
-        """What each planner would read a second, were all datagrams of its cell sent."""
-        held = self.layout.held_entries(self.fleet)
-        planners = {cell: len(numbers) for cell, numbers in self.layout.planners_by_cell().items()}
-        return [bytes_per_cycle(planners[one.cell], held[one.number]) for one in self.layout.placed]
-
-    def notes(self, records: list[Records]) -> list[str]:
-        """What a reader of the figures has to know."""
-        found = [
-            "core: processor time of the processes over the run; bytes: payload of TCP and UDP, counted at the sockets",
-            "in force: of hollow planners",
-            f"datagrams: sent for real up to {SENT_MOST} a second from each hollow process, to each peer by itself",
-        ]
-        if self.real:
-            found.append(
-                "real planners: lines of their tables against the ready servers of their cell; none sends datagrams; "
-                "bytes are those from and to discovery"
-            )
-        dropped = sum(one.dropped for one in records)
-        if dropped:
-            found.append(f"{dropped} in-force records over the bound were not kept")
-        return found
+            self.outcome.records = await self.ask_hollow(AskRecords(), Records)
+        return await asyncio.to_thread(make_report, self.outcome, findings)
 
 
 def first_of(errors: ExceptionGroup[ControlError]) -> ControlError:
@@ -512,18 +337,6 @@
     return first_of(found) if isinstance(found, ExceptionGroup) else found
 
 
-def agreed(digests: set[str]) -> str:
-    """The one digest of a cell's planners; nothing where they differ."""
-    return next(iter(digests)) if len(digests) == 1 else ""
-
-
-def figures_of(found: InForce) -> InForceFigures:
-    """The percentiles that are reported."""
-    return InForceFigures(
-        found.percentile(50.0), found.percentile(99.0), found.percentile(100.0), found.count(), found.missing
-    )
-
-
 def entry_of(change: ServerChange) -> Entry:
     """A change as the registry lists it. What returns is a process that has just started."""
     return Entry(change.server.name, change.server.address, change.server.zone, change.lifecycle, change.started_at_ms)
@@ -534,12 +347,6 @@
     return Shape(arguments.servers, arguments.zones, arguments.planners + arguments.real_planners, arguments.seed)
 
 
-def machine() -> Machine:
-    """This machine."""
-    memory = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") >> 20
-    return Machine(os.cpu_count() or 1, memory, platform.python_version())
-
-
 def held_port(kind: socket.SocketKind) -> socket.socket:
     """A socket on a port that nobody else has as long as it is open."""
     found = socket.socket(socket.AF_INET, kind)
