Scale run: an answer that nobody waits for any more is read, not taken for the next one's

The readings that go on each second are cancelled at the end of a run; one cancelled between question and answer left its answer on the connection, for the next question to find. Question and answer are now one exchange that goes on whoever is cancelled.

--- a/stackwheel/scale/children.py
+++ b/stackwheel/scale/children.py
@@ -53,7 +53,14 @@
             await self.lines.send(message)
 
     async def ask(self, message: Message, kind: type[M]) -> M:
-        """Send a message and read its answer; ControlError if the process has ended or says another thing."""
+        """Send a message and read its answer; ControlError if the process has ended or says another thing.
+
+        Where nobody waits for the answer any more, it is read all the same: it must not be taken for the next one's.
+        """
+        return await asyncio.shield(self.exchange(message, kind))
+
+    async def exchange(self, message: Message, kind: type[M]) -> M:
+        """One question and its answer, one after another."""
         assert self.lines is not None
         async with self.lock:
             await self.lines.send(message)
