--- a/stackwheel/scale/children.py
+++ b/stackwheel/scale/children.py
@@ -39,6 +39,7 @@
     process: asyncio.subprocess.Process
     lines: Lines[Answer] | None = None
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)  # one request at a time
+    ending: bool = False  # the run itself ends it
 
     @property
     def pid(self) -> int:
@@ -52,7 +53,14 @@
             await self.lines.send(message)
 
     async def ask(self, message: Message, kind: type[M]) -> M:
-        """Send a message and read its answer; ControlError if the process has ended or says another thing."""
+        """Send a message and read its answer; ControlError if the process has ended or says another thing.
+
+        Where nobody waits for the answer any more, it is read all the same: it must not be taken for the next one's.
+        """
+        return await asyncio.shield(self.exchange(message, kind))
+
+    async def exchange(self, message: Message, kind: type[M]) -> M:
+        """One question and its answer, one after another."""
         assert self.lines is not None
         async with self.lock:
             await self.lines.send(message)
@@ -115,10 +123,11 @@
 
     def ended(self) -> list[Child]:
         """Processes that have ended though nobody asked them to."""
-        return [child for child in self.running if child.process.returncode is not None]
+        return [child for child in self.running if child.process.returncode is not None and not child.ending]
 
     async def end(self, child: Child) -> None:
         """End one process: asked first, then killed."""
+        child.ending = True
         if child.process.returncode is None:
             if child.lines is not None:
                 with contextlib.suppress(ControlError, RuntimeError):
@@ -133,6 +142,13 @@
         if child in self.running:
             self.running.remove(child)
 
+    async def kill(self, child: Child) -> None:
+        """End one process as a crash does."""
+        child.ending = True
+        send(child, signal.SIGKILL)
+        await child.process.wait()
+        self.running.remove(child)
+
     async def end_all(self) -> None:
         """End every process that is left."""
         await asyncio.gather(*(self.end(child) for child in list(self.running)))
