--- a/stackwheel/service/relay.py
+++ b/stackwheel/service/relay.py
@@ -24,7 +24,7 @@
 from stackwheel.state.roster import STALE_MOST, Listing
 from stackwheel.wire import timing
 from stackwheel.wire.discovery import Discovery
-from stackwheel.wire.listing_server import ListingServer, whole_answers_most
+from stackwheel.wire.listing_server import ListingServer
 
 CONNECTIONS_MOST = 20_000  # descriptors that one process may hold, whatever the system would allow
 
@@ -95,7 +95,7 @@
     def __init__(self, config: RelayConfig, serving: Serving, connections: int) -> None:
         self.config, self.serving = config, serving
         self.cache = ListingCache(serving.locate, serving.cells, timing.SILENCE, timing.BEAT)
-        self.server = ListingServer(self.cache, whole_answers_most(serving.plan.limits.servers), connections)
+        self.server = ListingServer(self.cache, connections)
         self.upstream = Discovery(
             config.upstream,
             0,
--- a/stackwheel/wire/listing_server.py
+++ b/stackwheel/wire/listing_server.py
@@ -14,12 +14,12 @@
 from stackwheel.relay.cache import ListingCache
 from stackwheel.relay.messages import Action, EndWatches, Resumed, TellChanges, TellWhole, Unavailable
 from stackwheel.wire import timing
+from stackwheel.wire.byte_budget import ByteBudget
 from stackwheel.wire.http import split_address, within
 from stackwheel.wire.listing_requests import HEAD_MOST, BadRequest, ListRequest, read_request
 from stackwheel.wire.listing_watch import ListingWatch, chunk
 
-WHOLE_BYTES_MOST = 64 << 20  # of whole answers under way: an eighth of what a control machine gives a relay
-ENTRY_BYTES = 256  # of one entry, with names longer than usual
+WHOLE_BYTES_MOST = 64 << 20  # of whole answers under way, each of which may wait unread: 512 of 512 servers
 SEND_BUFFER = 64 << 10  # bytes in the kernel, of a connection: what a slow reader leaves unread there
 TURNS = 8  # a beat's empty lines go out in so many turns, so that they don't all come at once
 LISTEN_WAITING = 1024  # connections that wait to be accepted, of a cell: all of its planners and their retries
@@ -33,17 +33,13 @@
 }
 
 
-def whole_answers_most(servers: int) -> int:
-    """Whole answers under way at once, of cells with at most so many servers."""
-    return max(1, WHOLE_BYTES_MOST // (servers * ENTRY_BYTES))
-
-
 class ListingServer:
-    """Serves what the cache holds. `now` is the cache's clock, in ms; `connections` the most at once."""
+    """Serves what the cache holds. `now` is the cache's clock, in ms; `connections` the most at once, `whole_bytes`
+    the most of whole answers under way."""
 
-    def __init__(self, cache: ListingCache, whole_answers: int, connections: int) -> None:
+    def __init__(self, cache: ListingCache, connections: int, whole_bytes: int = WHOLE_BYTES_MOST) -> None:
         self.cache = cache
-        self.slots = asyncio.Semaphore(whole_answers)
+        self.budget = ByteBudget(whole_bytes)
         self.connections_most = connections
         self.connections = 0
         self.listeners: dict[str, tuple[str, asyncio.Server]] = {}  # by address: the cell, its listener
@@ -158,7 +154,7 @@
         answer = self.cache.ask(cell, request.since if request.follow else None, self.now())
         if isinstance(answer, Unavailable):
             await self._refuse(writer, BadRequest(503, answer.reason))
-        elif not isinstance(answer, Resumed) and self.slots.locked():
+        elif not isinstance(answer, Resumed) and not self.budget.room(len(self.cache.whole(cell) or b"")):
             await self._refuse(writer, BadRequest(503, "too many whole answers under way"))
         elif request.follow:
             await self._watch(cell, answer.line if isinstance(answer, Resumed) else None, reader, writer)
@@ -174,8 +170,8 @@
             await self._finish(writer, _head(refused.status, headers) + body)
 
     async def _list(self, cell: str, writer: asyncio.StreamWriter) -> None:
-        async with self.slots:
-            line = self.cache.whole(cell) or b""
+        line = self.cache.whole(cell) or b""
+        async with self.budget.hold(len(line)):
             headers = [("Content-Length", str(len(line))), ("Connection", "close")]
             await self._finish(writer, _head(200, [("Content-Type", "application/json"), *headers]) + line)
 
@@ -193,7 +189,7 @@
         self, cell: str, resumed: bytes | None, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Its first answer and its place among the watches are one step: what changes next is told after it."""
-        watch = ListingWatch(writer, partial(self.cache.whole, cell), self.slots)
+        watch = ListingWatch(writer, partial(self.cache.whole, cell), self.budget)
         self.opened += 1
         self.watches.setdefault(cell, {})[watch] = self.opened % TURNS
         if resumed is None:
--- a/stackwheel/wire/listing_watch.py
+++ b/stackwheel/wire/listing_watch.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from stackwheel.wire import timing
+from stackwheel.wire.byte_budget import ByteBudget
 from stackwheel.wire.http import within
 
 UNREAD_MOST = 64 << 10  # bytes of changes that wait for one watcher: beyond it the whole part is hardly more
@@ -31,9 +32,9 @@
         self,
         writer: asyncio.StreamWriter,
         whole: Callable[[], bytes | None],
-        slots: asyncio.Semaphore,
+        budget: ByteBudget,
     ) -> None:
-        self.writer, self.whole, self.slots = writer, whole, slots
+        self.writer, self.whole, self.budget = writer, whole, budget
         self.pending: deque[bytes] = deque()
         self.pending_bytes = 0
         self.whole_due = False
@@ -74,7 +75,7 @@
             if self.ended:
                 break
             if self.whole_due:
-                async with self.slots:
+                async with self.budget.hold(len(self.whole() or b"")):
                     await self._write_whole()
             elif self.pending:
                 await self._write(self._take_pending(), timing.SILENCE)
--- a/tests/relay/test_listing_server.py
+++ b/tests/relay/test_listing_server.py
@@ -14,7 +14,8 @@
 from stackwheel.relay.cache import ListingCache
 from stackwheel.state.roster import Instance, Listing
 from stackwheel.wire import listing_requests, timing
-from stackwheel.wire.listing_server import TURNS, ListingServer, whole_answers_most
+from stackwheel.wire.byte_budget import ByteBudget
+from stackwheel.wire.listing_server import TURNS, ListingServer
 from stackwheel.wire.listing_watch import UNREAD_MOST, ListingWatch
 
 LIST = "/registry/instances"
@@ -97,8 +98,8 @@
 
     started: ClassVar[list[ListingServer]] = []  # by the present test
 
-    def __init__(self, held: ListingCache, whole_answers: int = 8, connections: int = 100) -> None:
-        self.cache, self.server = held, ListingServer(held, whole_answers, connections)
+    def __init__(self, held: ListingCache, connections: int = 100, whole_bytes: int = 64 << 20) -> None:
+        self.cache, self.server = held, ListingServer(held, connections, whole_bytes)
         self.started.append(self.server)
 
     async def start(self) -> Served:
@@ -274,16 +275,17 @@
 
 def test_a_drain_before_the_whole_part_is_written_is_in_it() -> None:
     async def work() -> None:
-        served = await serving(server("a-1"), server("a-2"), whole_answers=1)
+        served = await serving(server("a-1"), server("a-2"), whole_bytes=1)
         watcher = await served.watch()
         assert (await watcher.listing()).whole
-        await served.server.slots.acquire()  # the whole part that is owed has to wait
+        other = served.server.budget.hold(1)  # the whole part that is owed has to wait
+        await other.__aenter__()
         (watch,) = await served.watches(1)
         watch.owe_whole()
         while watch.mail.is_set():  # until it waits for its turn
             await asyncio.sleep(0)
         served.take(changes(6, server("a-1", DRAINING)))
-        served.server.slots.release()
+        await other.__aexit__(None, None, None)
         assert await watcher.listing() == whole(6, server("a-2"), server("a-1", DRAINING))
         served.take(changes(7, server("a-1", GONE)))
         assert await watcher.listing() == changes(7, server("a-1", GONE))
@@ -335,7 +337,7 @@
 
 def test_a_new_numbering_is_told_to_all_watchers_as_the_whole_part() -> None:
     async def work() -> None:
-        served = await serving(server("a-1"), whole_answers=1)
+        served = await serving(server("a-1"), whole_bytes=1)
         watchers = [await served.watch(since=5) for _ in range(5)]
         for watcher in watchers:
             await watcher.listing()
@@ -404,25 +406,72 @@
 
 def test_whole_answers_under_way_are_bounded() -> None:
     async def work() -> None:
-        served = await serving(*(server(f"a-{n}{FILLER * 40}") for n in range(400)), whole_answers=2)
+        served = await serving(*(server(f"a-{n}{FILLER * 40}") for n in range(400)), whole_bytes=7_000_000)
         slow = [await served.watch(buffer=4096), await served.watch(buffer=4096)]
         for watch in await served.watches(2):
             await blocked(watch)
+        served.cache.heard(served.server.now())
         for request in (f"GET {LIST}", f"GET {LIST}?follow=1", f"GET {LIST}?follow=1&since=4"):
             assert await (await Caller.open(served.address, request)).status() == 503
         resumed = await served.watch(since=5)  # what changed is no whole answer
         assert await resumed.listing() == changes(5)
         assert (await slow[0].listing()).whole
-        while served.server.slots.locked():
+        while not served.server.budget.room(len(served.cache.whole("a") or b"")):
             await asyncio.sleep(0)
+        served.cache.heard(served.server.now())  # reading may have taken long
         assert await (await Caller.open(served.address, f"GET {LIST}")).status() == 200
 
     run(work)
 
 
-def test_the_bound_of_whole_answers_follows_from_memory() -> None:
-    assert whole_answers_most(512) * 512 * 256 <= 64 << 20 < (whole_answers_most(512) + 1) * 512 * 256
-    assert whole_answers_most(65_536) >= 1
+def test_bytes_are_held_in_the_order_of_asking_and_a_turn_given_up_is_passed_on() -> None:
+    async def work() -> None:
+        budget, order = ByteBudget(10), []
+
+        async def hold(name: str, size: int, done: asyncio.Event) -> None:
+            async with budget.hold(size):
+                order.append(name)
+                assert budget.held <= 10
+                await done.wait()
+
+        done = asyncio.Event()
+        async with budget.hold(8):
+            waiting = [asyncio.create_task(hold(name, size, done)) for name, size in (("a", 9), ("b", 4), ("c", 5))]
+            while len(budget.waiting) < 3:
+                await asyncio.sleep(0)
+            assert not budget.room(1) and order == []  # room for one, but others have asked before
+            waiting[0].cancel()
+            await asyncio.wait(waiting[:1])
+            assert budget.held == 8
+        while order != ["b", "c"]:
+            await asyncio.sleep(0)
+        late = asyncio.create_task(hold("d", 3, done))
+        while not budget.waiting:
+            await asyncio.sleep(0)
+        done.set()
+        await asyncio.wait([late, *waiting])
+        assert order == ["b", "c", "d"] and budget.held == 0 and budget.room(1000)  # alone, even a larger one
+
+    run(work)
+
+
+def test_a_turn_that_is_given_up_as_it_comes_is_given_back() -> None:
+    async def work() -> None:
+        budget = ByteBudget(1)
+
+        async def hold() -> None:
+            async with budget.hold(1):
+                pass
+
+        async with budget.hold(1):
+            waiting = asyncio.create_task(hold())
+            while not budget.waiting:
+                await asyncio.sleep(0)
+        waiting.cancel()  # its turn has come, but it has not run since
+        await asyncio.wait([waiting])
+        assert waiting.cancelled() and budget.held == 0
+
+    run(work)
 
 
 # Listeners
