--- a/stackwheel/service/relay.py
+++ b/stackwheel/service/relay.py
@@ -25,7 +25,7 @@
 from stackwheel.state.roster import STALE_MOST, Listing
 from stackwheel.wire import timing
 from stackwheel.wire.discovery import Discovery
-from stackwheel.wire.listing_server import ListingServer, stand_open, whole_answers_most
+from stackwheel.wire.listing_server import ListingServer, stand_open
 
 CONNECTIONS_MOST = 20_000  # descriptors that one process may hold, whatever the system would allow
 
@@ -123,9 +123,7 @@
     ) -> None:
         self.config, self.serving, self.around = config, serving, around
         self.cache = ListingCache(serving.locate, serving.cells, timing.SILENCE, timing.BEAT)
-        self.server = ListingServer(
-            self.cache, whole_answers_most(serving.plan.limits.servers), connections, around.listen_at
-        )
+        self.server = ListingServer(self.cache, connections, listen_at=around.listen_at)
         self.upstream = Discovery(
             config.upstream,
             0,
