--- a/stackwheel/trials/defects.py
+++ b/stackwheel/trials/defects.py
@@ -388,6 +388,14 @@
     return [(Part, "_changed_after", changed_after)]
 
 
+def resumed_below_the_log() -> Sequence[Patch]:
+    return [(Part, "resumes", lambda self, since: since > 0)]
+
+
+def older_told() -> Sequence[Patch]:
+    return [(cache.ListingCache, "_counts", lambda self, one: True)]
+
+
 def dropped_for_slow_reader() -> Sequence[Patch]:
     """What a watcher leaves unread beyond the bound is dropped, and the whole part is not told in the place of it."""
     honest = ListingWatch.tell
@@ -533,6 +541,20 @@
         departures_not_resumed,
         "a watch that goes on is not told who has left meanwhile",
     ),
+    Defect(
+        "resumed-below-the-log",
+        "relay",
+        (Rule.PART, Rule.DRAINS),
+        resumed_below_the_log,
+        "a relay that started later resumes a watch from before its log",
+    ),
+    Defect(
+        "older-told",
+        "relay",
+        (Rule.PART, Rule.DRAINS),
+        older_told,
+        "an older state that the registry tells once more is told on",
+    ),
     Defect(
         "dropped-for-slow-reader",
         "relay",
--- a/stackwheel/trials/discovery.py
+++ b/stackwheel/trials/discovery.py
@@ -208,11 +208,11 @@
         if call.watching:
             call.tell(records, False, generation)
 
-    def tell_older(self, after: float) -> None:
-        """Watches hear the state before the last change once more, and the present one after it."""
-        if not self.log:
+    def tell_older(self, after: float, concerned: Callable[[str], bool] = lambda name: True) -> None:
+        """Watches hear the state before the last change of servers concerned once more, and the present one after."""
+        last = next((generation for generation, new, _ in reversed(self.log) if concerned(new.name)), None)
+        if last is None:
             return
-        last = self.log[-1][0]
         changed = [(new, old) for generation, new, old in self.log if generation == last]
         before = tuple(old for _, old in changed if old is not None)
         if before:
--- a/stackwheel/trials/events.py
+++ b/stackwheel/trials/events.py
@@ -306,7 +306,10 @@
 
 @happen.register(s.Older)
 def _(fault: s.Older, world: World) -> None:
-    world.discovery.tell_older(fault.after)
+    if world.relays is None:
+        world.discovery.tell_older(fault.after)
+    else:
+        world.discovery.tell_older(fault.after, world.relays.concerns)
 
 
 @happen.register(s.Reload)
--- a/stackwheel/trials/relays.py
+++ b/stackwheel/trials/relays.py
@@ -127,7 +127,12 @@
 
     def part(self) -> Mapping[str, Record]:
         """The cell's part of the registry's list."""
-        return {name: one for name, one in self.world.discovery.records.items() if service_of(name) == CELL}
+        return {name: one for name, one in self.world.discovery.records.items() if self.concerns(name)}
+
+    @staticmethod
+    def concerns(server: str) -> bool:
+        """Whether a server is in the planners' cell."""
+        return service_of(server) == CELL
 
     def move(self) -> None:
         """Another plan: the cells are served at other ports."""
--- a/tests/trials/test_relays.py
+++ b/tests/trials/test_relays.py
@@ -31,6 +31,8 @@
     "lost-registry-vouched-for": "relay-cut-off-and-healed",
     "unreadable-as-departure": "unreadable-entries",
     "departures-not-resumed": "registry-is-down",
+    "resumed-below-the-log": "relays-restart-while-a-planner-is-away",
+    "older-told": "registry-tells-an-older-state",
     "dropped-for-slow-reader": "slow-planner-reader",
 }
 
