A late drain of a process that has left is told where departures do not bind

Told GONE at 14.004 s by a renewed watch, the server's DRAINING came at 14.706 s in an older generation from the late watch; `Roster.newer` left it out as of a process that has left, and requests went on 2.38 s after. Change: `Roster.late_drains` gives such a word, of that same process, to the policy alone; the list stays as it is. Where departures bind nothing changes, by construction.

--- a/stackwheel/service/app.py
+++ b/stackwheel/service/app.py
@@ -112,7 +112,7 @@
     def __init__(self, config: Config, around: Surroundings = PROCESS) -> None:
         self.config, self.around = config, around
         self.clock = Clock(around.wall, around.steady)
-        self.roster = Roster(config.names.zones, config.names.kinds, Ids())
+        self.roster = Roster(config.names.zones, config.names.kinds, Ids(), config.settings.only_draining_binds)
         self.roster.apply(config.known)
         self.links = Links(
             config.addresses, config.settings, config.names, self.roster, self.clock, around.listen_at, config.seed
--- a/stackwheel/state/roster.py
+++ b/stackwheel/state/roster.py
@@ -88,8 +88,11 @@
 
 
 class Roster:
-    def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...], ids: Ids) -> None:
+    def __init__(
+        self, zones: tuple[str, ...], kinds: tuple[str, ...], ids: Ids, only_draining_binds: bool = False
+    ) -> None:
         self.zones, self.kinds, self.ids = zones, kinds, ids
+        self.only_draining_binds = only_draining_binds  # then the policy goes on with what has left
         self.generation = 0
         self.entries: dict[Server, ServerEntry] = {}
         self.addresses: dict[Server, str] = {}  # where this planner reaches them
@@ -100,7 +103,9 @@
 
     def apply(self, listing: Listing, now: float = 0.0) -> face.ServerList:
         """Take a listing in; the event that tells the policy of it. Changes cost by what they name, not by the list."""
-        listing = self.newer(replace(listing, instances=latest(listing.instances)), now)
+        listing = replace(listing, instances=latest(listing.instances))
+        late_drains = self.late_drains(listing) if self.only_draining_binds else []
+        listing = self.newer(listing, now)
         entries = [entry for instance in listing.instances if (entry := self.entry(instance)) is not None]
         here = {e.server: e for e in entries if e.availability is not Availability.GONE}
         gone = {e.server: e.started for e in entries if e.availability is Availability.GONE}
@@ -121,7 +126,21 @@
             self.gone.pop(server, None)
         self.generation = listing.generation
         scope = ListScope.WHOLE if listing.whole else ListScope.CHANGES
-        return face.ServerList(scope, listing.generation, tuple(entries))
+        return face.ServerList(scope, listing.generation, (*entries, *late_drains))
+
+    def late_drains(self, listing: Listing) -> list[ServerEntry]:
+        """Drains that an older generation tells of processes that have left: they bind, where departures do not.
+
+        They are for the policy alone, which may still send there; what has left is not listed again.
+        """
+        if listing.anew or listing.whole or listing.generation >= self.generation:
+            return []
+        drains = [one for one in listing.instances if one.availability is Availability.DRAINING]
+        found = [self.entry(one) for one in drains if self.gone.get(digest(one.name)) == one.started]
+        entries = [entry for entry in found if entry is not None]
+        for entry in entries:
+            self.addresses.pop(entry.server, None)
+        return entries
 
     def unread(self, listing: Listing, read: set[Server]) -> dict[Server, ServerEntry]:
         """Known servers that a whole list may name in an entry which could not be read: that is no departure."""
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -119,6 +119,18 @@
     assert digest("b") not in kept.roster.entries
 
 
+@pytest.mark.parametrize("only_draining_binds", [True, False])
+def test_a_late_drain_of_what_has_left_is_told_where_departures_do_not_bind(only_draining_binds: bool) -> None:
+    """The policy keeps what the list dropped there, and an older generation's drain of it was left out (seed 700451)."""
+    kept = Kept(changes(41, one("c", READY, 100.0)), changes(43, one("b", GONE), one("c", GONE, 100.0)))
+    kept.roster.only_draining_binds = only_draining_binds
+    update = kept.roster.apply(changes(42, one("a"), one("b", DRAINING), one("c", DRAINING)))  # c: its former process
+    told = [(kept.roster.ids.name(entry.server), entry.availability) for entry in update.entries]
+    assert told == ([("b", DRAINING)] if only_draining_binds else [])
+    assert list(kept.roster.entries) == list(kept.roster.addresses) == [digest("a")]
+    assert kept.roster.generation == 43 and list(kept.roster.gone) == [digest("b"), digest("c")]
+
+
 @pytest.mark.parametrize(("unreadable", "left"), [(("b",), {"a", "b"}), (("",), {"a", "b", "c"}), ((), {"a"})])
 def test_an_entry_that_cannot_be_read_is_no_departure(unreadable: tuple[str, ...], left: set[str]) -> None:
     """A whole list without it took a good server away; of one whose name is lost nobody can say who it was."""
