--- a/tests/cli/test_command_line.py
+++ b/tests/cli/test_command_line.py
@@ -31,6 +31,12 @@
     )
 
 
+def test_relay_scripts_are_drawn_and_shown() -> None:
+    done = call("trial", "run", "--seeds", "1:2", "--relays", "--jobs", "1", "--json")
+    assert done.returncode == 0 and json.loads(done.stdout.splitlines()[-1])["broken"] == []
+    assert ", 2 relays, " in call("trial", "show", "1", "--relays").stdout
+
+
 def test_run_ends_with_one_object_and_zero() -> None:
     done = call("trial", "run", "--seeds", "0:4", "--jobs", "2", "--json")
     found = json.loads(done.stdout.splitlines()[-1])
@@ -70,6 +76,7 @@
         (("trial", "run", "--seeds", "x:y"), "'x:y' is no range of seeds"),
         (("trial", "run", "--seeds", "5:5"), "holds 0 seeds"),
         (("trial", "run"), "Missing option '--seeds'"),
+        (("trial", "run", "--seeds", "0:2", "--files", "--relays"), "give one of them"),
         (("trial", "run", "--seeds", "0:2", "--jobs", "0"), "--jobs"),
         (("trial", "replay", "nowhere.json"), "nowhere.json: No such file"),
         (("trial", "replay", "0", "--defect", "none"), "'none' is not one of"),
