Strangers leave room for a burst, as connections that wait to be accepted count too

Lines at fault: strangers were kept up to the last place, so that in a crowd of 1,100 a second each newcomer waited for an eviction.

Change: after each accept the oldest unidentified connections beyond capacity less ARRIVALS (128, a quarter at most) are closed, once they are 200 ms old; who is identified may use all. The listener evicts no further one while one is closing.

--- a/stackwheel/wire/links.py
+++ b/stackwheel/wire/links.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
+from itertools import islice
 from random import Random
 
 from loguru import logger
@@ -78,6 +79,7 @@
         self.arriving = 0  # connections taken, but not attended yet
         self.probing = 0  # probes that hold a descriptor
         self.peers: dict[Peer, None] = {}  # attended, until their sockets are closed; the first to come first
+        self.closing: set[Peer] = set()  # of the peers, those that ended or were told to
         self.released = asyncio.Event()  # set whenever one of these has given its descriptor back
         self.collectors: dict[int, list[Peer]] = {}  # of each zone; the older ones are heard too
         self.limiters: dict[int, RateLimiter] = {}  # of proxies, whatever connection they have
@@ -147,19 +149,42 @@
                 continue
             self.arriving += 1
             self.start_task(self.serve_connection(connection))
+            self.reserve_room()
 
     async def wait_for_room(self) -> None:
         """Wait until another connection may be held: an evicted one counts until its socket is closed."""
         while self.full():
             self.released.clear()
-            if self.evict_one():
+            if self.closing or self.evict_one():
                 await self.released.wait()
             else:
                 await asyncio.sleep(timing.YOUNG / 5000.0)
 
     def full(self) -> bool:
         """Whether connections and probes, with those being closed, hold all descriptors that they may."""
-        return self.arriving + len(self.peers) + self.probing >= max(1, self.addresses.sockets - timing.KEPT_SOCKETS)
+        return self.held >= self.capacity
+
+    @property
+    def held(self) -> int:
+        """Descriptors that connections and probes hold, those being closed among them."""
+        return self.arriving + len(self.peers) + self.probing
+
+    @property
+    def capacity(self) -> int:
+        """Descriptors that connections and probes may hold."""
+        return max(1, self.addresses.sockets - timing.KEPT_SOCKETS)
+
+    def reserve_room(self) -> None:
+        """Close the oldest unidentified connections until those that come in one turn of the loop find room.
+
+        Those whose first bytes may be unread stay, and so does who is identified.
+        """
+        excess = self.held - len(self.closing) - (self.capacity - timing.accept_reserve(self.capacity))
+        ripe_before = asyncio.get_running_loop().time() - timing.SETTLED / 1000.0
+        for peer in list(islice(self.unidentified, max(0, excess))):
+            if peer.unidentified_since > ripe_before:
+                return
+            self.close_unidentified(peer, "as no descriptor is left")
 
     def evict_one(self) -> bool:
         """Close the oldest unidentified connection, or else the longest quiet peer; whether one is being closed.
@@ -206,11 +231,13 @@
         except Exception as error:
             logger.exception("{}: fault {!r}", peer, error)
         finally:
+            self.closing.add(peer)
             self.unidentified.pop(peer, None)
             if peer.zone is not None:
                 self.collectors[peer.zone].remove(peer)
         await socket_closed(writer)
         self.peers.pop(peer, None)
+        self.closing.discard(peer)
         self.released.set()
 
     def limiter(self, proxy: int) -> RateLimiter:
@@ -232,6 +259,7 @@
 
     def close_unidentified(self, peer: Peer, why: str) -> None:
         self.unidentified.pop(peer, None)
+        self.closing.add(peer)
         peer.end(why)
 
     async def sweep(self) -> None:
--- a/stackwheel/wire/timing.py
+++ b/stackwheel/wire/timing.py
@@ -13,6 +13,7 @@
 SWEEP = 250.0  # how often those who have not said it are looked through
 QUIET = 10_000.0  # a joined peer says something each report cycle; one so quiet goes before a new one waits
 YOUNG = 50.0  # what came along with a connection has been read by then
+SETTLED = 4 * YOUNG  # the same though turns of the loop take up to 60 ms in a crowd; nobody waits yet
 UNSENT_MOST = 256 * 1024  # bytes a peer may leave unread; the protocol's own limit towards us is half of it
 READ_BYTES = 64 * 1024
 RECEIVE_BUFFER = 32 * 1024  # in the kernel, of a connection: so much of a flood waits here at once
@@ -23,6 +24,7 @@
 ACCEPT_AGAIN = 10.0  # after a connection that could not be accepted
 FAULT_AGAIN = 100.0  # after a defect of ours in the listener or the like: soon, but no storm
 ACCEPT_BURST = 64  # connections set up at once
+ARRIVALS = 128  # connections within one turn of the loop: up to 67 were seen to wait, where 1,100 came in a second
 LISTEN_BACKLOG = 4096  # connections that wait to be accepted: every proxy may come at once; the kernel's usual most
 # Descriptors that connections and probes leave to the rest of the process, each counted until it is closed: 3 standard
 # streams, 3 of the loop, 1 listener, 1 datagram socket, 1 file being read, 4 calls for the list (a watch, its successor
@@ -33,6 +35,11 @@
 SILENT_CYCLES = 4  # of reports: a proxy with requests says something each cycle
 
 
+def accept_reserve(capacity: int) -> int:
+    """Of the connections that may be held, how many unidentified ones leave free: at most a quarter."""
+    return min(ARRIVALS, capacity // 4)
+
+
 def renewal(planners: int) -> float:
     """How long a watch may tell no change before it is renewed, in case its updates have stopped while it beats.
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -72,12 +72,14 @@
     up to 64 descriptors over the limit."""
 
     async def work() -> None:
-        monkeypatch.setattr(timing, "YOUNG", 0.0)  # all may go at once
+        monkeypatch.setattr(timing, "YOUNG", 1000.0)
         setup = Setup(proxies=2 * ROOM, sockets=timing.KEPT_SOCKETS + ROOM)
         census = await opened(setup)
-        for _ in range(ROOM):
+        for _ in range(ROOM - 1):
             census.connect(b"")
-        await until(lambda: len(setup.links.unidentified) >= ROOM - 1)
+        await until(lambda: len(setup.links.unidentified) == ROOM - 1)
+        for peer in setup.links.unidentified:  # all may go at once
+            peer.unidentified_since -= 1.0
         for number in range(ROOM):
             census.connect(joining(number))
         joined = joins(setup)
@@ -88,6 +90,31 @@
     run(work())
 
 
+def test_strangers_leave_room_for_a_burst() -> None:
+    """Strangers held all places, each newcomer waited for one of them to go, and up to 39 lay in the backlog at once."""
+
+    async def work() -> None:
+        setup = Setup(proxies=ROOM, sockets=timing.KEPT_SOCKETS + ROOM)
+        census = await opened(setup)
+        for _ in range(ROOM - 1):
+            census.connect(b"")
+        await until(lambda: len(setup.links.unidentified) == ROOM - 1)
+        for peer in setup.links.unidentified:
+            peer.unidentified_since -= 1.0
+        joined = joins(setup)
+        census.connect(joining(0))
+        await until(lambda: joined() == 1 and not setup.links.closing)
+        reserve = timing.accept_reserve(ROOM)
+        assert 0 < reserve < ROOM and len(setup.links.peers) == ROOM - reserve
+        for number in range(1, ROOM):  # who is identified may have all of it
+            census.connect(joining(number))
+        await until(lambda: joined() == ROOM)
+        assert len(setup.links.peers) == ROOM and census.most <= ROOM
+        census.leave()
+
+    run(work())
+
+
 def test_connections_that_end_by_themselves_count_until_they_are_closed() -> None:
     """Whoever left in one turn was forgotten in that turn and closed in the next: who waited was taken in between."""
 
