--- a/stackwheel/cli/scale_slopes.py
+++ b/stackwheel/cli/scale_slopes.py
@@ -27,7 +27,7 @@
 def slopes(
     replace: bool, out: Path, only: tuple[str, ...], repeats: int, span: float, seed: int, no_direct: bool
 ) -> int:
-    """Measure what a real planner costs against each size; takes about twelve minutes and up to two cores."""
+    """Measure what a real planner and a real relay cost against each size; takes twelve minutes, up to two cores."""
     from stackwheel.scale import sweep
     from stackwheel.scale.bench import BenchError
     from stackwheel.scale.choice import time_choices
