Tests: a relay is up before it is told to end

test_a_plan_is_read_again_and_a_bad_one_changes_nothing failed once in a whole run on a busy machine: the second relay ended with -15. It was never waited for, so SIGTERM could reach the process before its handler was set. The test waits for its first answer now; exit code 0 is asserted as before.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -164,6 +164,7 @@
         port = found.cells[0].port
         async with relays(tmp_path, registry, found) as (first, second):
             await first.answers(port, 200)
+            await second.answers(port, 200)  # up before it is told to end
             watch = Call(first.address(port), f"{PATH}?follow=1")
             assert await watch.open(MOST_MS, MOST_MS) is None and b"s-1" in await watch.chunk(MOST_MS)
             (tmp_path / "cells.json").write_bytes(encode_plan(found)[:200])
