--- a/stackwheel/scale/planner_bench.py
+++ b/stackwheel/scale/planner_bench.py
@@ -15,6 +15,7 @@
 from stackwheel.scale.accounting import Channel
 from stackwheel.scale.bench import READY_POLL_SECONDS, READY_SECONDS, Bench, BenchError, address_of, free_port, started
 from stackwheel.scale.design_size import REQUESTS_PER_PROXY
+from stackwheel.scale.planner_settings import PlannerSettings, RequestClassSettings
 from stackwheel.scale.points import Point
 from stackwheel.scale.proxies import CYCLE_MS, HollowCollector, HollowProxy, ProxySettings
 from stackwheel.scale.surroundings import HOST, ListFeed, PeerPlanners, ProbedServers
@@ -27,10 +28,25 @@
 SOCKETS_MOST = 15_000  # of 20,000 descriptors a process
 
 
+def bench_settings(point: Point) -> PlannerSettings:
+    """The planner's tier, at a point of a sweep."""
+    return PlannerSettings(
+        zones=[f"zone-{number:02d}" for number in range(point.zones)],
+        kinds=["m1"],
+        classes=[RequestClassSettings("read"), RequestClassSettings("write", worth=5.0, effect="once")],
+        proxies=point.proxies,
+        planners=point.planners,
+        cross_zone=0.1,
+        cycle=CYCLE_MS,
+        message_cap=12,
+        cold=17000.0,
+        cold_share=0.2,
+    )
+
+
 def planner_config(point: Point, listen: str, discovery: str, peers: PeerPlanners, seed: int) -> dict[str, object]:
     """ROUTER_CONFIG of the planner under test: number 0 of its tier."""
     own = f"{HOST}:{free_port(datagrams=True)}"
-    service = {"deadline": 1200.0, "group": "all", "key_ttl": 5000.0, "target": 500.0}
     return {
         "name": "planner-0",
         "listen": listen,
@@ -40,51 +56,7 @@
         "peer_listen": own,
         "peers": [own, *(end.address() for end in peers.ends)],
         "peers_all": peers.everyone.address(),
-        "settings": {
-            "me": 0,
-            "instances": point.planners,
-            "zone": 0,
-            "zones": [f"zone-{number:02d}" for number in range(point.zones)],
-            "kinds": ["m1"],
-            "tick": 2.0,
-            "weight_kind": "off",
-            "discovery": "on_request",
-            "load_report": {"columns": ["outstanding"], "source": "inline"},
-            "bounds": {"peers": True, "probes": True},
-            "deductions": {"cross_zone": 0.1},
-            "services": [
-                {"name": "read", "worth": 1.0, "effect": "repeatable", **service},
-                {"name": "write", "worth": 5.0, "effect": "once", **service},
-            ],
-            "family_info": {
-                "agents": point.proxies,
-                "backlog": 4500.0,
-                "channel_rate": 3000.0,
-                "cycle": CYCLE_MS,
-                "exclusive": False,
-                "key_ranges": 0,
-                "lb_method": "two",
-                "level_kind": "share",
-                "messages_over": 10000.0,
-                "overhead": 4.0,
-                "strikes": 0,
-                "transit": 150.0,
-                "try_factor": 0.8,
-                "unserved_max": 7000.0,
-                "update_cap": 12,
-                "usual_how": 1,
-                "zone_bound": [False, False],
-            },
-            "obligations": {
-                "ask_within": 10000.0,
-                "cold": 17000.0,
-                "cold_share": 0.2,
-                "drain_grace": 3000.0,
-                "fall_multiple": 4.0,
-                "only_draining_binds": False,
-                "overload_for": 3000.0,
-            },
-        },
+        "settings": bench_settings(point).document(),
     }
 
 
--- /dev/null
+++ b/stackwheel/scale/planner_settings.py
@@ -0,0 +1,99 @@
+"""The settings that a real planner of a scale run or sweep is given, as the platform would hand them over."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClassSettings:
+    """A class of requests; worth in any unit, the rest as in `examples/config.json`."""
+
+    name: str
+    worth: float = 1.0
+    effect: str = "repeatable"
+
+    def document(self) -> dict[str, object]:
+        """As an entry of `settings.services`."""
+        return {
+            "name": self.name,
+            "target": 500.0,
+            "deadline": 1200.0,
+            "worth": self.worth,
+            "effect": self.effect,
+            "group": "all",
+            "key_ttl": 5000.0,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerSettings:
+    """What differs between the planners that are run; all else is as in `examples/config.json`. Times are ms."""
+
+    zones: Sequence[str]
+    kinds: Sequence[str]
+    classes: Sequence[RequestClassSettings]
+    proxies: int
+    planners: int = 1
+    zone: int = 0
+    list_on_request: bool = True
+    load_source: str = "inline"
+    peers: bool = True
+    probes: bool = True
+    cross_zone: float = 0.0
+    cycle: float = 1000.0
+    message_cap: int = 0
+    cold: float = 0.0
+    cold_share: float = 0.0
+
+    def document(self) -> dict[str, object]:
+        """The object `settings` of a planner's configuration; the planner is number 0 of its tier."""
+        return {
+            "me": 0,
+            "instances": self.planners,
+            "zone": self.zone,
+            "zones": list(self.zones),
+            "kinds": list(self.kinds),
+            "tick": 2.0,
+            "weight_kind": "off",
+            "discovery": "on_request" if self.list_on_request else "pushed",
+            "load_report": {"columns": ["outstanding"], "source": self.load_source},
+            "bounds": {"peers": self.peers, "probes": self.probes},
+            "deductions": {"cross_zone": self.cross_zone},
+            "services": [one.document() for one in self.classes],
+            "family_info": self._family(),
+            "obligations": self._obligations(),
+        }
+
+    def _family(self) -> dict[str, object]:
+        return {
+            "agents": self.proxies,
+            "backlog": 4500.0,
+            "channel_rate": 3000.0,
+            "cycle": self.cycle,
+            "exclusive": False,
+            "key_ranges": 0,
+            "lb_method": "two",
+            "level_kind": "share",
+            "messages_over": 10000.0,
+            "overhead": 4.0,
+            "strikes": 0,
+            "transit": 150.0,
+            "try_factor": 0.8,
+            "unserved_max": 7000.0,
+            "update_cap": self.message_cap,
+            "usual_how": 1,
+            "zone_bound": [False for _ in self.classes],
+        }
+
+    def _obligations(self) -> dict[str, object]:
+        return {
+            "ask_within": 10000.0,
+            "cold": self.cold,
+            "cold_share": self.cold_share,
+            "drain_grace": 3000.0,
+            "fall_multiple": 4.0,
+            "only_draining_binds": False,
+            "overload_for": 3000.0,
+        }
--- a/stackwheel/scale/real.py
+++ b/stackwheel/scale/real.py
@@ -18,15 +18,15 @@
 from stackwheel.scale.entries import IN_SERVICE, MACHINE_TYPE, Entry
 from stackwheel.scale.layout import Placed
 from stackwheel.scale.meter import Meter
+from stackwheel.scale.planner_settings import PlannerSettings, RequestClassSettings
 from stackwheel.scale.proxies import HollowProxy, ProxySettings
 from stackwheel.service.config import VARIABLE
 
 ROUTES = ("read", "write")
+PROXIES = 8  # that a planner's settings allow; one of them joins
 PROXY_RATE = 15.0  # requests a second of the proxy that looks
 LIMITS = {"cores": 0.028, "memory_mb": 128, "sockets": 1024}  # the operators' budget of a planner for control
-THIN_MOST = (
-    150  # servers of a cell up to which a table holds all of them; over some 200 lines it is thinned, see fleet.md
-)
+THIN_MOST = 150  # servers of a cell up to which a table holds all; over some 200 lines it is thinned, see fleet.md
 READY_WITHIN = 30.0  # s from a planner's start to its first PONG: it may hold 48,000 servers on a busy machine
 PING_EVERY = 0.05  # s
 
@@ -59,6 +59,17 @@
 
 def configuration(placed: Placed, listen: str, discovery: str, zones: Sequence[str], seed: int) -> dict[str, object]:
     """A planner's configuration file; the settings are those of `examples/config.json`, on this fleet's zones."""
+    settings = PlannerSettings(
+        zones=zones,
+        kinds=[MACHINE_TYPE],
+        classes=[RequestClassSettings(name) for name in ROUTES],
+        proxies=PROXIES,
+        zone=list(zones).index(placed.planner.zone),
+        list_on_request=False,
+        load_source="off",
+        peers=False,
+        probes=False,
+    )
     return {
         "name": placed.planner.name,
         "listen": listen,
@@ -66,59 +77,7 @@
         "seed": f"{seed:016x}",
         "limits": LIMITS,
         "known": {"generation": 0, "reset": True, "instances": []},
-        "settings": {
-            "me": 0,
-            "instances": 1,
-            "zone": list(zones).index(placed.planner.zone),
-            "zones": list(zones),
-            "kinds": [MACHINE_TYPE],
-            "tick": 2.0,
-            "weight_kind": "off",
-            "discovery": "pushed",
-            "load_report": {"columns": ["outstanding"], "source": "off"},
-            "bounds": {"peers": False, "probes": False},
-            "deductions": {"cross_zone": 0.0},
-            "services": [
-                {
-                    "name": name,
-                    "target": 500.0,
-                    "deadline": 1200.0,
-                    "worth": 1.0,
-                    "effect": "repeatable",
-                    "group": "all",
-                    "key_ttl": 5000.0,
-                }
-                for name in ROUTES
-            ],
-            "family_info": {
-                "agents": 8,
-                "backlog": 4500.0,
-                "channel_rate": 3000.0,
-                "cycle": 1000.0,
-                "exclusive": False,
-                "key_ranges": 0,
-                "lb_method": "two",
-                "level_kind": "share",
-                "messages_over": 10000.0,
-                "overhead": 4.0,
-                "strikes": 0,
-                "transit": 150.0,
-                "try_factor": 0.8,
-                "unserved_max": 7000.0,
-                "update_cap": 0,
-                "usual_how": 1,
-                "zone_bound": [False, False],
-            },
-            "obligations": {
-                "ask_within": 10000.0,
-                "cold": 0.0,
-                "cold_share": 0.0,
-                "drain_grace": 3000.0,
-                "fall_multiple": 4.0,
-                "only_draining_binds": False,
-                "overload_for": 3000.0,
-            },
-        },
+        "settings": settings.document(),
     }
 
 
