Scale: ports of a run are found in one place; its tests start runs in one

scale/bench.py and scale/run.py each had a free_port, and run.py and surroundings.py each a HOST; scale/ports.py has them now. Two tests of test_run started a run and waited for its processes with the same lines; they share them, with every assertion as before. No behaviour changes.

--- a/stackwheel/scale/bench.py
+++ b/stackwheel/scale/bench.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import os
-import socket
 import sys
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Coroutine, Mapping, Sequence
@@ -13,7 +12,7 @@
 from typing import Any
 
 from stackwheel.scale.accounting import TrafficCounters
-from stackwheel.scale.surroundings import HOST, ListFeed
+from stackwheel.scale.surroundings import ListFeed
 
 READY_SECONDS = 20.0  # from the process's start until it serves; 0.8 s is usual with 48,000 servers
 READY_POLL_SECONDS = 0.02
@@ -68,13 +67,6 @@
             self.feed.change()
 
 
-def free_port(datagrams: bool = False) -> int:
-    """A port that nobody holds now."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM if datagrams else socket.SOCK_STREAM) as found:
-        found.bind((HOST, 0))
-        return int(found.getsockname()[1])
-
-
 def address_of(server: asyncio.Server) -> str:
     """Where a server listens."""
     host, port = server.sockets[0].getsockname()[:2]
--- a/stackwheel/scale/planner_bench.py
+++ b/stackwheel/scale/planner_bench.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import socket
 import tempfile
 import time
 from collections.abc import AsyncIterator, Sequence
@@ -13,12 +14,13 @@
 
 from stackwheel.balance import PEERS_MOST
 from stackwheel.scale.accounting import Channel
-from stackwheel.scale.bench import READY_POLL_SECONDS, READY_SECONDS, Bench, BenchError, address_of, free_port, started
+from stackwheel.scale.bench import READY_POLL_SECONDS, READY_SECONDS, Bench, BenchError, address_of, started
 from stackwheel.scale.design_size import REQUESTS_PER_PROXY
 from stackwheel.scale.planner_settings import PlannerSettings, RequestClassSettings
 from stackwheel.scale.points import Point
+from stackwheel.scale.ports import HOST, free_port
 from stackwheel.scale.proxies import CYCLE_MS, HollowCollector, HollowProxy, ProxySettings
-from stackwheel.scale.surroundings import HOST, ListFeed, PeerPlanners, ProbedServers
+from stackwheel.scale.surroundings import ListFeed, PeerPlanners, ProbedServers
 from stackwheel.service.config import VARIABLE
 from stackwheel.wire.http import split_address
 
@@ -46,7 +48,7 @@
 
 def planner_config(point: Point, listen: str, discovery: str, peers: PeerPlanners, seed: int) -> dict[str, object]:
     """ROUTER_CONFIG of the planner under test: number 0 of its tier."""
-    own = f"{HOST}:{free_port(datagrams=True)}"
+    own = f"{HOST}:{free_port(socket.SOCK_DGRAM)}"
     return {
         "name": "planner-0",
         "listen": listen,
--- a/stackwheel/scale/relay_bench.py
+++ b/stackwheel/scale/relay_bench.py
@@ -13,8 +13,9 @@
 from stackwheel.scale.accounting import Channel
 from stackwheel.scale.bench import READY_SECONDS, Bench, BenchError, address_of, started
 from stackwheel.scale.points import ZONES, RelayPoint, cell_name
+from stackwheel.scale.ports import HOST
 from stackwheel.scale.proxies import until
-from stackwheel.scale.surroundings import HOST, LIST_PATH, READ_BYTES, ListFeed
+from stackwheel.scale.surroundings import LIST_PATH, READ_BYTES, ListFeed
 
 NAME, TWIN = "relay-0", "relay-1"
 TWIN_HOST = "127.78.0.1"  # nobody listens there: each cell is served by both relays, one of them is measured
--- a/stackwheel/scale/run.py
+++ b/stackwheel/scale/run.py
@@ -37,13 +37,13 @@
 from stackwheel.scale.findings import Findings, compare_all
 from stackwheel.scale.fleet import Shape, draw_fleet
 from stackwheel.scale.layout import WHOLE, Placed, choose_real, deal, peer_address, whole_layout
+from stackwheel.scale.ports import HOST, free_port, held_port
 from stackwheel.scale.real import RealPlanner
 from stackwheel.scale.relays import Network, design_plan, relay_layout, start_relays
 from stackwheel.scale.report import Arguments, Progress, Report
 from stackwheel.scale.scenarios import Scenario, Schedule, ServerChange, draw_schedule, largest_group
 from stackwheel.scale.summary import Outcome, make_report
 
-HOST = "127.0.0.1"
 START_WITHIN = 180.0  # s for all planners to hold a list; 15,000 on a busy machine take a good part of it
 SETTLE_WITHIN = 7.0  # s: what discovery tells counts as told after 6 s
 SETTLE_EVERY = 0.5
@@ -347,19 +347,6 @@
     return Shape(arguments.servers, arguments.zones, arguments.planners + arguments.real_planners, arguments.seed)
 
 
-def held_port(kind: socket.SocketKind) -> socket.socket:
-    """A socket on a port that nobody else has as long as it is open."""
-    found = socket.socket(socket.AF_INET, kind)
-    found.bind((HOST, 0))
-    return found
-
-
-def free_port() -> int:
-    """A port that nobody listens on now."""
-    with held_port(socket.SOCK_STREAM) as found:
-        return int(found.getsockname()[1])
-
-
 def last_line(folder: Path, child: Child) -> str:
     """Why a process says it has ended."""
     with contextlib.suppress(OSError):
--- a/stackwheel/scale/surroundings.py
+++ b/stackwheel/scale/surroundings.py
@@ -14,12 +14,12 @@
 from stackwheel.scale.accounting import Traffic
 from stackwheel.scale.entries import IN_SERVICE, TERMINATED, TERMINATING, Entry
 from stackwheel.scale.listing import RegistryList
+from stackwheel.scale.ports import HOST
 from stackwheel.state.ids import digest
 from stackwheel.wire import timing
 from stackwheel.wire.datagrams import MOST_BYTES
 
 LIST_PATH = "/registry/instances"
-HOST = "127.0.0.1"
 READ_BYTES = 64 * 1024
 RATE_OF_A_PEER = 1.0  # requests a second that a peer says it sends to each server: any figure costs the same
 PEER_PROXIES = 4
--- a/tests/scale/test_run.py
+++ b/tests/scale/test_run.py
@@ -119,8 +119,8 @@
         return False
 
 
-def test_a_process_that_dies_ends_the_run_with_a_line() -> None:
-    words = ("--scenario", "churn", "--servers", "200", "--planners", "5", "--duration", "60")
+def started(words: tuple[str, ...], processes: int) -> tuple[subprocess.Popen[str], set[int], float]:
+    """A run once it has so many processes, these, and when all has to be over."""
     run = subprocess.Popen(
         [sys.executable, "-m", "stackwheel", "scale", "run", *words, "--json"],
         cwd=ROOT,
@@ -129,9 +129,15 @@
         text=True,
     )
     deadline = time.monotonic() + 30
-    while len(children := children_of(run.pid)) < 2:
+    while len(children := children_of(run.pid)) < processes:
         assert time.monotonic() < deadline and run.poll() is None
         time.sleep(0.05)
+    return run, children, deadline
+
+
+def test_a_process_that_dies_ends_the_run_with_a_line() -> None:
+    words = ("--scenario", "churn", "--servers", "200", "--planners", "5", "--duration", "60")
+    run, children, _ = started(words, 2)
     os.kill(max(children), signal.SIGKILL)
     out, told = run.communicate(timeout=30)
     assert run.returncode == 2 and out == "" and "Traceback" not in told
@@ -142,17 +148,7 @@
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
 def test_an_interrupted_run_leaves_no_process(number: signal.Signals) -> None:
     words = ("--scenario", "churn", "--servers", "200", "--planners", "5", "--real-planners", "1", "--duration", "60")
-    run = subprocess.Popen(
-        [sys.executable, "-m", "stackwheel", "scale", "run", *words, "--json"],
-        cwd=ROOT,
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
-        text=True,
-    )
-    deadline = time.monotonic() + 30
-    while len(children := children_of(run.pid)) < 3:
-        assert time.monotonic() < deadline and run.poll() is None
-        time.sleep(0.05)
+    run, children, deadline = started(words, 3)
     os.kill(run.pid, number)
     out, told = run.communicate(timeout=30)
     while any(map(alive, children)):
