Review case 3: one spoilt report lets a cold successor get nearly all requests

Cause: a count that fits 32 bits passes as sound; the capacity that follows from it is a thousand times too large, and a successor takes the mean capacity of its kind.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -28,6 +28,10 @@
 REPORT_DELAY_S = 0.5  # sums come 320 to 1,400 ms late
 REDIAL_S = 0.6  # a proxy dials again 0.53 to 2.4 s after a break
 READY_TIMEOUT_S = 30.0
+WORK_S = 0.04  # work of one request at a warm server
+MAX_WAIT_S = 0.8  # a request that would wait longer is turned away
+TRY_S = 1.0  # a proxy waits so long for an answer
+AVOID_S = 5.0  # a proxy keeps away for 3.5 to 7.4 s from a server where too many of its tries in a row failed
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_COULD_NOT_RUN = 2
@@ -246,10 +250,15 @@
 
 
 class Server:
-    """A server: answers requests and probes, and notes when a joined proxy sent it a request.
+    """A server with one core: answers requests and probes, and notes when a proxy sent it a request.
 
     Attributes:
         requests: pairs of time and proxy number.
+        started_at: time of the start of a server that starts cold; None for one that started long ago.
+        cold_share: share of its capacity at its start.
+        cold_s: time until it is warm; its capacity rises evenly.
+        busy_s: work done in the present report interval.
+        util: share of the last report interval in which the core was busy.
     """
 
     def __init__(self, record: Record, name: str, zone: str) -> None:
@@ -259,6 +268,44 @@
         self.address = ""
         self.requests: list[tuple[float, int]] = []
         self.in_flight = 0
+        self.started_at: float | None = None
+        self.cold_share = 1.0
+        self.cold_s = 0.0
+        self.core_free_at = 0.0
+        self.busy_s = 0.0
+        self.util = 0.0
+
+    def present_share(self, at: float) -> float:
+        """Return the share of its full capacity that the server has at a time."""
+        if self.started_at is None or self.cold_s <= 0:
+            return 1.0
+        progress = min(1.0, max(0.0, (at - self.started_at) / self.cold_s))
+        return self.cold_share + (1.0 - self.cold_share) * progress
+
+    def capacity(self, at: float) -> float:
+        """Return the requests per second that the server can do at a time."""
+        return self.present_share(at) / WORK_S
+
+    async def measure(self) -> None:
+        """Measure the use of the core in each report interval."""
+        while True:
+            await asyncio.sleep(REPORT_S)
+            self.util = min(1.0, self.busy_s / REPORT_S)
+            self.busy_s = 0.0
+
+    async def work(self) -> bool:
+        """Do one request after those that wait; return False if too many wait, so that it is turned away."""
+        now = self.record.now()
+        begin = max(now, self.core_free_at)
+        if begin - now > MAX_WAIT_S:
+            return False
+        duration = WORK_S / self.present_share(now)
+        self.core_free_at = begin + duration
+        self.in_flight += 1
+        await asyncio.sleep(self.core_free_at - now)
+        self.in_flight -= 1
+        self.busy_s += duration
+        return True
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -270,13 +317,13 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                body = b"inflight=%d" % self.in_flight
-                if not head.startswith("GET /stats"):
+                is_done = True
+                if not head.startswith("GET "):
                     self.requests.append((self.record.now(), int(head.partition("X-Proxy: ")[2].split("\r\n")[0])))
-                    self.in_flight += 1
-                    await asyncio.sleep(0.02)
-                    self.in_flight -= 1
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+                    is_done = await self.work()
+                body = b"inflight=%d,util=%.3f" % (self.in_flight, self.util)
+                status = b"200 OK" if is_done else b"503 Service Unavailable"
+                writer.write(b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
                 await writer.drain()
         except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError):  # the latter at the end
             pass
@@ -324,6 +371,10 @@
         self.random = random.Random(number)
         self.joined_at: float | None = None
         self.messages: list[float] = []
+        self.in_flight: dict[str, int] = {}
+        self.strikes: dict[str, int] = {}
+        self.avoided_until: dict[str, float] = {}
+        self.credit: dict[str, dict[str, float]] = {name: {} for name in case.classes}
         self.is_new = True
         self.counts = dict.fromkeys(case.classes, 0)
         self.failures = dict.fromkeys(case.classes, 0)
@@ -377,14 +428,44 @@
             if server is None:
                 self.failures[name] += 1
                 continue
+            self.in_flight[server] = self.in_flight.get(server, 0) + 1
             task = asyncio.create_task(self.send_request(name, server))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
 
     def choose(self, name: str) -> str | None:
-        """Draw a server by weight."""
+        """Choose a server as `family_info.lb_method` says, of those that are not avoided, if there are any."""
         lines = self.tables.lines[name]
-        return self.random.choices(list(lines), list(lines.values()))[0] if lines else None
+        now = self.record.now()
+        usable = [server for server in lines if self.avoided_until.get(server, 0.0) <= now] or list(lines)
+        if not usable:
+            return None
+        method = self.case.settings["family_info"]["lb_method"]
+        if method == "round":
+            return self.choose_in_turn(name, {server: lines[server] for server in usable})
+        first = self.random.choices(usable, [lines[server] for server in usable])[0]
+        others = [server for server in usable if server != first]
+        if method != "two" or not others:
+            return first
+        second = self.random.choices(others, [lines[server] for server in others])[0]
+        return second if self.in_flight.get(second, 0) < self.in_flight.get(first, 0) else first
+
+    def choose_in_turn(self, name: str, lines: dict[str, float]) -> str:
+        """Choose evenly by weight: each server's credit grows by its weight, and the highest credit is next."""
+        credit = {server: self.credit[name].get(server, 0.0) + weight for server, weight in lines.items()}
+        chosen = max(credit, key=credit.__getitem__)
+        credit[chosen] -= sum(lines.values())
+        self.credit[name] = credit
+        return chosen
+
+    def note(self, server: str, is_answered: bool) -> None:
+        """Count failures in a row at a server, and avoid it for a while after `family_info.strikes` of them."""
+        self.in_flight[server] -= 1
+        self.strikes[server] = 0 if is_answered else self.strikes.get(server, 0) + 1
+        limit = self.case.settings["family_info"]["strikes"]
+        if limit and self.strikes[server] >= limit:
+            self.strikes[server] = 0
+            self.avoided_until[server] = self.record.now() + AVOID_S
 
     async def send_request(self, name: str, server: str) -> None:
         """Send one request on a connection of its own, and note how it went."""
@@ -395,13 +476,15 @@
             host, _, port = self.case.servers[server].address.rpartition(":")
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(f"POST /{name} HTTP/1.1\r\nX-Proxy: {self.number}\r\n\r\n".encode())
-            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0)
-            is_answered = True
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), TRY_S)
+            is_answered = b" 200 " in head
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            self.failures[name] += 1
+            pass
         finally:
             if writer is not None:
                 writer.close()
+        self.failures[name] += not is_answered
+        self.note(server, is_answered)
         self.case.met(self.zone, server, is_answered, self.record.now() - started_at)
 
     async def report(self) -> None:
@@ -427,6 +510,8 @@
         proxies: proxies by number.
         listen: the planner's address.
         rate: requests per second of each proxy and class.
+        spoilt_target: server whose next report arrives spoilt; empty for none.
+        spoilt_count: value of the field `count` in that report.
     """
 
     def __init__(self, record: Record, folder: Path, rate: float = 10.0) -> None:
@@ -444,6 +529,8 @@
         self.servers: dict[str, Server] = {}
         self.proxies: dict[int, Proxy] = {}
         self.sums: dict[tuple[str, str], list[float]] = {}
+        self.spoilt_target = ""
+        self.spoilt_count = ""
         self.tasks: list[asyncio.Task[None]] = []
         self.process: asyncio.subprocess.Process | None = None
         self.config_path = Path(tempfile.mkdtemp(prefix="review-")) / "config.json"
@@ -455,7 +542,12 @@
     async def add_server(self, name: str, zone: str, is_cold: bool = False) -> None:
         """Start a server and list it."""
         server = Server(self.record, name, zone)
+        if is_cold:
+            server.started_at = self.record.now()
+            server.cold_share = self.settings["obligations"]["cold_share"]
+            server.cold_s = self.settings["obligations"]["cold"] / 1000.0
         await server.start()
+        self.start_task(server.measure())
         self.servers[name] = server
         self.fleet.add(name, server.address, zone, int(time.time() * 1000) if is_cold else 0)
 
@@ -555,10 +647,17 @@
         for key in [key for key in self.sums if key[0] == zone]:
             tries, failures, total_ms = self.sums.pop(key)
             mean = total_ms / max(1.0, tries - failures)
-            lines.append(
-                f"LOAD site={zone} target={key[1]} count={tries:.0f} fail={failures:.0f} mean={mean:.1f} "
-                f"over=1000.0 util=inflight:{self.servers[key[1]].in_flight}\r\n"
+            server = self.servers[key[1]]
+            count = f"{tries:.0f}"
+            if key[1] == self.spoilt_target:
+                self.spoilt_target = ""
+                count = self.spoilt_count
+            line = (
+                f"LOAD site={zone} target={key[1]} count={count} fail={failures:.0f} mean={mean:.1f} "
+                f"over=1000.0 util=inflight:{server.in_flight},util:{server.util:.3f}"
             )
+            lines.append(line + "\r\n")
+            self.record.quietly(f"collector {zone}: {line}")
         return lines
 
     async def stop(self) -> None:
