Review: scripts end with 2 and end their planner whatever happens; requests are recorded

Cause: a failed setup ended a script with 1, which reads as a broken rule; SIGTERM to a script left its planner running; record.txt held orders, lists and reports of load, but not the requests. Change: the whole run stands inside the error handling; SIGTERM, SIGINT and SIGHUP end a script in order; requests sent, run, turned away and answered, and usage reports, are in record.txt, as is how the planner ended. Measured: before, a missing example configuration gave exit code 1 and SIGTERM left one planner; after, both give 2 and no process is left.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -319,8 +319,11 @@
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 is_done = True
                 if not head.startswith("GET "):
-                    self.requests.append((self.record.now(), int(head.partition("X-Proxy: ")[2].split("\r\n")[0])))
+                    number = int(head.partition("X-Proxy: ")[2].split("\r\n")[0])
+                    self.requests.append((self.record.now(), number))
                     is_done = await self.work()
+                    request = head.partition("X-Request: ")[2].split("\r\n")[0]
+                    self.record.quietly(f"{self.name} {'ran' if is_done else 'turned away'} request {request}")
                 body = b"inflight=%d,util=%.3f" % (self.in_flight, self.util)
                 status = b"200 OK" if is_done else b"503 Service Unavailable"
                 writer.write(b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
@@ -371,6 +374,7 @@
         self.random = random.Random(number)
         self.joined_at: float | None = None
         self.messages: list[float] = []
+        self.requests = 0
         self.in_flight: dict[str, int] = {}
         self.strikes: dict[str, int] = {}
         self.avoided_until: dict[str, float] = {}
@@ -470,19 +474,24 @@
     async def send_request(self, name: str, server: str) -> None:
         """Send one request on a connection of its own, and note how it went."""
         started_at = self.record.now()
+        self.requests += 1
+        request = f"{self.number}.{self.requests}"
+        self.record.quietly(f"proxy {self.number} sent request {request} ({name}) to {server}")
         writer = None
-        is_answered = False
+        answer = "no answer"
         try:
             host, _, port = self.case.servers[server].address.rpartition(":")
             reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(f"POST /{name} HTTP/1.1\r\nX-Proxy: {self.number}\r\n\r\n".encode())
-            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), TRY_S)
-            is_answered = b" 200 " in head
+            head = f"POST /{name} HTTP/1.1\r\nX-Proxy: {self.number}\r\nX-Request: {request}\r\n\r\n"
+            writer.write(head.encode())
+            answer = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), TRY_S)).split(b" ")[1].decode()
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             pass
         finally:
             if writer is not None:
                 writer.close()
+        is_answered = answer == "200"
+        self.record.quietly(f"proxy {self.number} request {request}: {answer}")
         self.failures[name] += not is_answered
         self.note(server, is_answered)
         self.case.met(self.zone, server, is_answered, self.record.now() - started_at)
@@ -500,6 +509,7 @@
             self.failures = dict.fromkeys(self.failures, 0)
             if self.writer is not None and self.joined_at is not None:
                 self.writer.write("".join(lines).encode())
+                self.record.quietly(f"proxy {self.number} reported {' | '.join(line.strip() for line in lines)}")
 
 
 class Deployment:
@@ -661,15 +671,18 @@
         return lines
 
     async def stop(self) -> None:
-        """End all that the case started."""
+        """End all that the case started, and say how the planner ended."""
         for task in self.tasks:
             task.cancel()
-        if self.process is not None and self.process.returncode is None:
-            os.kill(self.process.pid, signal.SIGTERM)
-            try:
-                await asyncio.wait_for(self.process.wait(), 3.0)
-            except TimeoutError:
-                self.process.kill()
+        if self.process is not None:
+            if self.process.returncode is None:
+                os.kill(self.process.pid, signal.SIGTERM)
+                try:
+                    await asyncio.wait_for(self.process.wait(), 3.0)
+                except TimeoutError:
+                    self.process.kill()
+                    await self.process.wait()
+            self.record.write(f"process {self.process.pid} has ended with {self.process.returncode}")
         for path in self.config_path.parent.iterdir():
             path.unlink()
         self.config_path.parent.rmdir()
@@ -696,21 +709,33 @@
     folder: Path, play: Callable[[Deployment, bool], Coroutine[Any, Any, bool]], limit_s: float = 110.0
 ) -> int:
     """Play a case; return 1 if the rule was broken, 0 if it held and 2 if the case could not run."""
-    record = Record(folder / "record.txt")
+    try:
+        record = Record(folder / "record.txt")
+        return asyncio.run(play_recorded(record, folder, play, limit_s))
+    except Exception as error:  # whatever goes wrong in the script says nothing about the rule
+        print(f"the case could not run: {error!r}", flush=True)
+        return EXIT_COULD_NOT_RUN
+
+
+async def play_recorded(
+    record: Record, folder: Path, play: Callable[[Deployment, bool], Coroutine[Any, Any, bool]], limit_s: float
+) -> int:
+    """Play a case and end all that it started, also when the script itself is told to end."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"case {folder.name}, {'with' if has_trouble else 'without'} the disruption")
-
-    async def run() -> int:
-        """Play the case, and end all that it started."""
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    deployment = None
+    try:
         deployment = Deployment(record, folder)
-        try:
-            held = await asyncio.wait_for(play(deployment, has_trouble), limit_s)
-        except Exception as error:  # whatever goes wrong in the stand-ins says nothing about the rule
-            record.write(f"the case could not run: {error!r}")
-            return EXIT_COULD_NOT_RUN
-        finally:
+        held = await asyncio.wait_for(play(deployment, has_trouble), limit_s)
+    except (Exception, asyncio.CancelledError) as error:
+        record.write(f"the case could not run: {error!r}")
+        return EXIT_COULD_NOT_RUN
+    finally:
+        if deployment is not None:
             await deployment.stop()
-        record.write("the rule held" if held else "the rule was BROKEN")
-        return EXIT_HELD if held else EXIT_BROKEN
-
-    return asyncio.run(run())
+    record.write("the rule held" if held else "the rule was BROKEN")
+    return EXIT_HELD if held else EXIT_BROKEN
