Review case 1: half the load, as its six servers were offered more than they can do

Cause: the work of a request was doubled for case 3, so that case 1 offered 160 requests a second to servers that can do 150: an overload beside the disruption, not stated anywhere. Change: case 1 sends 80 a second, 0.53 of what its servers can do.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,6 +14,7 @@
 
 SERVERS = 6
 PROXIES = 8
+RATE = 5.0  # requests per second of each proxy and class: 80 in all, 0.53 of what the servers can do
 FIRST_CHANGE_S = 6.0
 CLOSE_AFTER_S = 1.5  # the old address closes what is still open after 1.5 s
 ANSWER_DELAY_S = 1.9  # a call may wait up to the time-out of discovery, 2 s
@@ -27,6 +28,7 @@
 async def play(case: Deployment, has_trouble: bool) -> bool:
     """Change the configuration twice, let a server drain, and return whether the proxies were told."""
     record = case.record
+    case.rate = RATE
     for number in range(SERVERS):
         await case.add_server(f"s-{number}", case.zones[number % 2])
     first, second, third = (
