Discovery: a reload whose watch has not delivered a list always leaves a watch open

No error in the log.

Cause: change_address cancelled the second watch and asked for a handover only if the first one was still open. The end of the first had been no event for the policy, as the second was open then, and a cancelled watch reports nothing: nobody had a retry due.

Evidence: the log shows that both reloads were read and that the address reached the client. A second kind: "first watch ends, reload, retry, reload back" kept following the address that the configuration no longer named.

Change: the client knows the address of its watch. If a reload finds an open watch that is not the source's, that watch is replaced at once by one at the newest address, with a log line. A handover is asked for only where the source is still watched.

Why it works: every path out of change_address now leaves a watch or a handover command if one was open before, and the failure of that watch is reported, as it is the only one.

--- a/stackwheel/wire/discovery_client.py
+++ b/stackwheel/wire/discovery_client.py
@@ -114,6 +114,7 @@
         replica_index: index of the replica that the next watch calls, modulo the number of replicas.
         backoff: delays between failed attempts.
         watch_task: the watch that delivered the current list, or the first watch; None while there is no watch.
+        watched_address: address of `watch_task`; differs from `source` until a first watch has delivered a list.
         successor_task: a second watch that replaces `watch_task` when it has delivered a list; None if there is none.
         fetch_tasks: fetches in flight.
     """
@@ -146,6 +147,7 @@
         self.replica_index = 0
         self.mailbox: asyncio.Queue[Command | ChangeAddress] = asyncio.Queue()
         self.watch_task: asyncio.Task[None] | None = None
+        self.watched_address = address
         self.successor_task: asyncio.Task[None] | None = None
         self.fetch_tasks: set[asyncio.Task[None]] = set()
 
@@ -164,45 +166,60 @@
         match command:
             case ChangeAddress(address):
                 self.change_address(address)
-            case Command.HAND_OVER if self.watch_task is not None and self.source != self.address:
+            case Command.HAND_OVER if self.watch_task is not None and self.watched_address != self.address:
                 self.successor_task = self.successor_task or self._start_watch()
             case Command.RENEW if self.watch_task is not None and self.successor_task is None:
                 self.successor_task = self._start_watch()
             case Command.FETCH:
                 self._start_fetch()
             case Command.WATCH if self.successor_task is None:
-                self.cancel_watches()
-                self.watch_task = self._start_watch()
+                self._restart_watch()
             case Command.STOP:
                 self.cancel_watches()
 
     def _start_watch(self) -> asyncio.Task[None]:
         return asyncio.create_task(self.watch(self.address))
 
+    def _restart_watch(self) -> None:
+        self.cancel_watches()
+        self.watched_address = self.address
+        self.watch_task = self._start_watch()
+
     def _start_fetch(self) -> None:
         task = asyncio.create_task(self.fetch())
         self.fetch_tasks.add(task)
         task.add_done_callback(self.fetch_tasks.discard)
 
     def change_address(self, address: str) -> None:
-        """Use another discovery service, and start a handover to it if a watch is open."""
+        """Use another discovery service, and start a handover to it if the source is watched.
+
+        If the watch of the source has ended, the open watch has not delivered a list yet, for example because an
+        earlier handover is not complete. It is replaced at once, because its failure would not be reported.
+        """
         if address == self.address:
             return
         logger.info("discovery address changed: source={} address={}", self.source, address)
         self.address = address
         self.replica_index = 0
-        if self.successor_task is not None:
-            self.successor_task.cancel()
-            self.successor_task = None
-        if self.watch_task is not None:
+        if self.watch_task is not None and self.watched_address == self.source:
+            self._cancel_successor()
             self.send(Command.HAND_OVER)
+        elif self.watch_task is not None or self.successor_task is not None:
+            logger.info(
+                "discovery watch replaced: source={} address={} reason=the source is not watched", self.source, address
+            )
+            self._restart_watch()
 
     def cancel_watches(self) -> None:
         """Cancel the watch and its successor."""
-        for task in (self.watch_task, self.successor_task):
-            if task is not None:
-                task.cancel()
+        if self.watch_task is not None:
+            self.watch_task.cancel()
         self.watch_task = None
+        self._cancel_successor()
+
+    def _cancel_successor(self) -> None:
+        if self.successor_task is not None:
+            self.successor_task.cancel()
         self.successor_task = None
 
     # --- Fetching the complete list ---
@@ -344,7 +361,7 @@
             error.stage,
             error.reason,
         )
-        if self.successor_task is None and self.source != self.address:
+        if self.successor_task is None and self.watched_address != self.address:
             self._send_after_backoff(Command.HAND_OVER)
 
     # --- Results of calls ---
@@ -363,6 +380,7 @@
             if self.watch_task is not None:
                 self.watch_task.cancel()
             self.watch_task = self.successor_task
+            self.watched_address = address
             self.successor_task = None
         self.generation = endpoints.generation if endpoints.complete else max(self.generation, endpoints.generation)
         logger.info(
--- a/tests/wire/test_discovery_client.py
+++ b/tests/wire/test_discovery_client.py
@@ -55,6 +55,49 @@
     run_async(scenario)
 
 
+def test_second_change_of_address_after_the_end_of_the_old_watch_starts_a_watch() -> None:
+    """Guards against two reloads in a row after which discovery is never called again and drains are missed."""
+
+    async def scenario() -> None:
+        first, second, third = [await ScriptedDiscovery().start() for _ in range(3)]
+        harness, old_watch = await start_watching(first, 8, "a")
+        harness.send(ChangeAddress(second.address))
+        unanswered = await second.calls.get()
+        old_watch.reset()
+        while harness.client.watch_task is not None:
+            await asyncio.sleep(0)
+        harness.send(ChangeAddress(third.address))
+        new_watch = await third.calls.get()
+        await unanswered.ended.wait()
+        new_watch.send_list(8, True, "a", "z")
+        assert await harness.next_list() == (8, True, {"a", "z"})
+        assert harness.client.source == third.address
+
+    run_async(scenario)
+
+
+def test_change_back_to_the_source_replaces_a_watch_that_has_not_delivered_a_list() -> None:
+    """Guards against a planner that keeps following an address which the configuration no longer names."""
+
+    async def scenario() -> None:
+        first = await ScriptedDiscovery().start()
+        second = await ScriptedDiscovery().start()
+        harness, old_watch = await start_watching(first, 8, "a")
+        old_watch.reset()
+        assert await harness.next_is_failure()
+        harness.send(ChangeAddress(second.address))
+        harness.send(Command.WATCH)
+        unanswered = await second.calls.get()
+        harness.send(ChangeAddress(first.address))
+        resumed = await first.calls.get()
+        assert resumed.target.endswith("since=8")
+        await unanswered.ended.wait()
+        resumed.send_list(9, False, "b")
+        assert await harness.next_list() == (9, False, {"b"})
+
+    run_async(scenario)
+
+
 def test_fetched_list_older_than_the_watch_is_posted_as_incomplete() -> None:
     async def scenario() -> None:
         discovery = await ScriptedDiscovery().start()
