Limit the rate of a load report to what is plausible, so that one spoilt count misleads nobody

Cause: a rate up to a million a second passed as sound and entered the server's attempt rate. Capacities follow from that rate and forget it slowly, a successor takes the average of its kind, a restarted server keeps its own, and the limit of a warming server is a share of the capacity. A window near 0 does the same.

Evidence: a closed loop of servers and policy with one figure spoilt at a time.

A rate counts up to four times the expected one plus ten requests an interval; expected is what earlier reports showed, or an even share of the zone's demand. Why it works: four is less than the reserve of warming servers (1 / 0.22), and an estimate that one report can move by less cannot push a cold server over.

--- a/stackwheel/policy/estimates.py
+++ b/stackwheel/policy/estimates.py
@@ -9,6 +9,8 @@
 
 from stackwheel.interface import HealthCheckOutcome, HealthCheckResult, LoadReport, Settings
 from stackwheel.policy.arithmetic import MAX_RATE_PER_S, clamp, exponential_average, median
+from stackwheel.policy.demand import DemandTracker
+from stackwheel.policy.plausibility import limit_figure, rate_allowance
 from stackwheel.policy.servers import ServerPool, ServerView, ZoneReport
 
 RATE_GAIN = 0.5
@@ -55,10 +57,15 @@
         mean_objective_ms: mean latency objective of the request classes.
         lowest_latency: lowest median latency so far, ms; 0 before the first slot with reports.
         mean_report_window: moving average of the windows of load reports, ms.
+        even_shares: demand of a zone in this slot, requests per second, divided by the number of ready servers; by
+            zone, computed with the zone's first report in the slot.
     """
 
-    def __init__(self, settings: Settings, pool: ServerPool) -> None:
+    def __init__(self, settings: Settings, pool: ServerPool, demand: DemandTracker) -> None:
         self.pool = pool
+        self.demand = demand
+        self.rate_allowance = rate_allowance(settings.report_interval)
+        self.even_shares: dict[int, float] = {}
         self.load_columns = settings.load_columns
         objectives = sum(requirements.latency_objective for requirements in settings.classes)
         self.mean_objective_ms = objectives / max(1, len(settings.classes))
@@ -74,18 +81,20 @@
         self.mean_report_window = exponential_average(
             self.mean_report_window, min(report.window, MAX_REPORT_WINDOW_MS), REPORT_WINDOW_GAIN
         )
+        reported_rate = attempts * 1000.0 / report.window
+        rate = min(MAX_RATE_PER_S, self.limit_rate(view, report.zone, reported_rate, now))
         failed_share = min(report.failures, attempts) / attempts
         failure_ms = FAILURE_LATENCY_OBJECTIVES * self.mean_objective_ms
         success_ms = clamp(report.mean_latency, 0.0, failure_ms)
         latency = success_ms * (1 - failed_share) + failure_ms * failed_share
-        gain = attempts / (attempts + LATENCY_HALF_GAIN_ATTEMPTS)
+        counted_attempts = attempts * (rate / reported_rate)
+        gain = counted_attempts / (counted_attempts + LATENCY_HALF_GAIN_ATTEMPTS)
         zone = report.zone
         view.latency = exponential_average(view.latency, latency, gain)
         view.latency_by_zone[zone] = exponential_average(view.latency_by_zone.get(zone), latency, gain)
-        rate = min(MAX_RATE_PER_S, attempts * 1000.0 / report.window)
         view.attempt_rates[zone] = exponential_average(view.attempt_rates.get(zone), rate, RATE_GAIN)
         view.failure_share = exponential_average(
-            view.failure_share, failed_share, attempts / (attempts + FAILURE_HALF_GAIN_ATTEMPTS)
+            view.failure_share, failed_share, counted_attempts / (counted_attempts + FAILURE_HALF_GAIN_ATTEMPTS)
         )
         if failed_share < 1.0:
             view.success_latency = exponential_average(view.success_latency, success_ms, gain)
@@ -96,6 +105,17 @@
         view.zone_reports[zone] = ZoneReport(valid_until, latency, rate, rate * (1 - failed_share))
         return True
 
+    def limit_rate(self, view: ServerView, zone: int, reported_rate: float, now: float) -> float:
+        """Return the reported attempts per second of a zone's proxies at a server, limited to what is plausible.
+
+        The expected rate is that of the earlier reports, or an even share of the zone's demand if that is higher.
+        """
+        if zone not in self.even_shares:
+            demand = sum(self.demand.rates_by_class(now, zone))
+            self.even_shares[zone] = demand / max(1, len(self.pool.ready()))
+        expected = max(view.attempt_rates.get(zone, 0.0), self.even_shares[zone])
+        return limit_figure(reported_rate, expected, self.rate_allowance)
+
     def record_load(self, view: ServerView, load: tuple[float, ...]) -> None:
         """Update the load figures of a server; they are in the order of the load columns in the settings."""
         figures = zip(self.load_columns, load, strict=False)
@@ -122,6 +142,7 @@
 
     def decay_unconfirmed(self, median_latency_ms: float, now: float) -> None:
         """Remove expired reports, and move latencies without a valid report towards the median of all servers."""
+        self.even_shares.clear()
         for view in self.pool.views.values():
             reports = {zone: report for zone, report in view.zone_reports.items() if report.valid_until > now}
             view.zone_reports = reports
--- a/stackwheel/policy/planner.py
+++ b/stackwheel/policy/planner.py
@@ -79,7 +79,7 @@
         self.endpoints = EndpointTracker(settings, random, self.actions, self.pool)
         self.demand = DemandTracker(settings, self.proxies)
         self.peers = PeerPlanners(settings, self.pool)
-        self.estimates = LoadEstimates(settings, self.pool)
+        self.estimates = LoadEstimates(settings, self.pool, self.demand)
         self.capacity = CapacityEstimates(settings, self.pool, self.demand, self.peers, self.estimates)
         self.ejection = OutlierEjection(settings, self.pool, self.estimates)
         self.shedding = LoadShedding(settings, self.pool, self.proxies, self.demand, self.peers, self.estimates)
--- /dev/null
+++ b/tests/policy/test_spoilt_reports.py
@@ -0,0 +1,228 @@
+"""One spoilt figure in a report, in any field, must not distort the estimates that depend on it.
+
+The spoilt figures fit their fields, so that they reach the policy, but they are wrong by orders of magnitude.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import NamedTuple
+
+import pytest
+from policy_harness import SETTINGS, PolicyHarness, entry, server_id
+
+from stackwheel import interface
+from stackwheel.interface import Availability, DemandReport, LoadReport, ServerId
+from stackwheel.policy.plausibility import CHANCE_ALLOWANCE
+from stackwheel.policy.slow_start import WARMING_LOAD_SHARE
+
+SERVERS = 12
+PROXIES = 8
+REPLACED = server_id(2)
+SUCCESSOR = server_id(100)
+CAPACITY_PER_S = 25.0  # of a warm server
+RATE_PER_S = 11.0  # of each proxy and class: 176 of all, 0.59 of what the servers can process
+WARM_UP_SLOTS = 12
+SLOTS_UNTIL_RESTART = 4
+LARGE = 4.0e9  # nearly the maximum of a field
+DAY_MS = 86_400_000.0
+MAX_RATIO = 1.0 / WARMING_LOAD_SHARE  # an estimate that is wrong by less leaves a warming server under its limit
+MIN_RATIO = 1.0 / MAX_RATIO
+
+COLD_SETTINGS = replace(
+    SETTINGS,
+    load_columns=("utilization", "outstanding"),
+    proxy_count=PROXIES,
+    slow_start_min_share=0.24,
+    slow_start_duration=18000.0,
+    overload_multiple=3.0,
+    cross_zone_cost=0.02,
+)
+DEPLOYMENTS = {
+    "utilization": COLD_SETTINGS,
+    "no utilization": replace(COLD_SETTINGS, load_columns=("outstanding",)),
+    "peers silent": replace(COLD_SETTINGS, planner_count=2, gossip_enabled=True, proxy_count=2 * PROXIES),
+    "peers silent, no utilization": replace(
+        COLD_SETTINGS, load_columns=("outstanding",), planner_count=2, gossip_enabled=True, proxy_count=2 * PROXIES
+    ),
+}
+SPOILT_LOAD_REPORTS: dict[str, dict[str, object]] = {
+    "attempts": {"attempts": int(LARGE)},
+    "failures": {"attempts": int(LARGE), "failures": int(LARGE)},
+    "long latency": {"mean_latency": DAY_MS},
+    "no latency": {"mean_latency": 0.0},
+    "short window": {"window": 1e-3},
+}
+
+
+class Load(NamedTuple):
+    """Requests per second that the proxies of the planner send to a server, by zone of the proxies."""
+
+    by_zone: tuple[float, float]
+
+    @property
+    def total(self) -> float:
+        return sum(self.by_zone)
+
+
+class Fleet:
+    """Proxies and servers in a closed loop with a planner: the load of each server follows from the tables.
+
+    Attributes:
+        harness: the planner and its tables.
+        has_peer: whether a second, silent planner causes the same load.
+    """
+
+    def __init__(self, settings: interface.Settings) -> None:
+        servers = [entry(number, number % 2) for number in range(SERVERS)]
+        proxies = [(number, number % 2) for number in range(PROXIES)]
+        self.has_peer = settings.planner_count > 1
+        rate = RATE_PER_S / settings.planner_count
+        self.rate = rate
+        self.harness = PolicyHarness(settings, servers, proxies)
+
+    def load(self, server: ServerId) -> Load:
+        by_zone = [0.0, 0.0]
+        for proxy, zone in self.harness.zone_by_proxy.items():
+            for request_class in (0, 1):
+                by_zone[zone] += self.rate * self.harness.shares(proxy, request_class).get(server, 0.0)
+        return Load((by_zone[0], by_zone[1]))
+
+    def capacity(self, server: ServerId) -> float:
+        """Return the requests per second that a server can process now."""
+        started_at = self.harness.entries[server].started_at
+        progress = min(1.0, (self.harness.now - started_at) / COLD_SETTINGS.slow_start_duration)
+        minimum = COLD_SETTINGS.slow_start_min_share
+        return CAPACITY_PER_S * (minimum + (1.0 - minimum) * progress)
+
+    def reports(self) -> list[LoadReport | DemandReport]:
+        """Return the sound reports of one second."""
+        planners = 2.0 if self.has_peer else 1.0
+        reports: list[LoadReport | DemandReport] = []
+        for server, listed in self.harness.entries.items():
+            if listed.availability is not Availability.READY:
+                continue
+            load = self.load(server)
+            utilization = min(1.0, load.total * planners / self.capacity(server))
+            figures = {"utilization": utilization, "outstanding": load.total * planners * 0.1}
+            columns = tuple(figures[column] for column in self.harness.settings.load_columns)
+            for zone, rate in enumerate(load.by_zone):
+                if round(rate):
+                    reports.append(LoadReport(zone, server, round(rate), 0, 100.0, 1000.0, columns))
+        reports += [
+            DemandReport(proxy, request_class, round(self.rate), 0, 1000.0)
+            for proxy in self.harness.zone_by_proxy
+            for request_class in (0, 1)
+        ]
+        return reports
+
+    def run_slot(self, *spoilt: interface.Event) -> None:
+        """Send the reports of one second; spoilt reports replace the sound ones on the same subject."""
+        subjects = {subject(event) for event in spoilt}
+        sound = [report for report in self.reports() if subject(report) not in subjects]
+        self.harness.send(*self.harness.acknowledgements(), *sound, *spoilt, wait_ms=1000.0)
+
+    def sound_report(self, server: ServerId) -> LoadReport:
+        """Return the sound report of the servers' own zone on a server."""
+        return next(
+            report
+            for report in self.reports()
+            if isinstance(report, LoadReport) and report.server == server and report.zone == 0
+        )
+
+
+def subject(event: interface.Event) -> tuple[object, ...]:
+    """Return what a report is about."""
+    match event:
+        case LoadReport(zone, server):
+            return (zone, server)
+        case DemandReport(proxy, request_class):
+            return (proxy, request_class)
+    return ()
+
+
+def running_fleet(deployment: str, slots: int = WARM_UP_SLOTS) -> Fleet:
+    fleet = Fleet(DEPLOYMENTS[deployment])
+    for _ in range(slots):
+        fleet.run_slot()
+    return fleet
+
+
+def spoil_load_report(fleet: Fleet, fields: dict[str, object]) -> None:
+    """Run a slot in which one report on `REPLACED` is spoilt."""
+    report = fleet.sound_report(REPLACED)
+    if "load" in fields and "utilization" not in fleet.harness.settings.load_columns:
+        fields = {"load": fields["load"][-1:]}  # type: ignore[index]
+    fleet.run_slot(replace(report, **fields))  # type: ignore[arg-type]
+
+
+def worst_cold_load(fleet: Fleet, server: ServerId) -> float:
+    """Return the highest load of a cold server, as a multiple of its capacity, until it is warm."""
+    worst = 0.0
+    while fleet.harness.now < fleet.harness.entries[server].started_at + COLD_SETTINGS.slow_start_duration:
+        planners = 2.0 if fleet.has_peer else 1.0
+        worst = max(worst, fleet.load(server).total * planners / fleet.capacity(server))
+        fleet.run_slot()
+    return worst
+
+
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+@pytest.mark.parametrize("field", SPOILT_LOAD_REPORTS)
+def test_successor_of_a_server_with_a_spoilt_load_report_is_not_overloaded(field: str, deployment: str) -> None:
+    """Guards against a cold successor that gets nearly all requests after one spoilt report on its predecessor."""
+    fleet = running_fleet(deployment)
+    spoil_load_report(fleet, SPOILT_LOAD_REPORTS[field])
+    for _ in range(SLOTS_UNTIL_RESTART - 1):
+        fleet.run_slot()
+    draining = replace(fleet.harness.entries[REPLACED], availability=Availability.DRAINING)
+    fleet.harness.update_endpoints(draining, entry(100, 0, started_at=fleet.harness.now))
+    assert worst_cold_load(fleet, SUCCESSOR) <= COLD_SETTINGS.overload_multiple
+
+
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+@pytest.mark.parametrize("field", SPOILT_LOAD_REPORTS)
+def test_server_that_restarts_after_a_spoilt_load_report_is_not_overloaded(field: str, deployment: str) -> None:
+    """Guards against a restarted server that gets nearly all requests because its measured capacity is kept."""
+    fleet = running_fleet(deployment)
+    spoil_load_report(fleet, SPOILT_LOAD_REPORTS[field])
+    fleet.run_slot()
+    fleet.harness.update_endpoints(replace(fleet.harness.entries[REPLACED], started_at=fleet.harness.now))
+    assert worst_cold_load(fleet, REPLACED) <= COLD_SETTINGS.overload_multiple
+
+
+@pytest.mark.parametrize("slots", [0, 1, WARM_UP_SLOTS])
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+@pytest.mark.parametrize("field", SPOILT_LOAD_REPORTS)
+def test_estimates_after_a_spoilt_load_report_stay_near_those_without_it(
+    field: str, deployment: str, slots: int
+) -> None:
+    """Guards against estimates, of any kind and of any server, that one spoilt report distorts for many slots."""
+    fleet, sound_fleet = running_fleet(deployment, slots), running_fleet(deployment, slots)
+    spoil_load_report(fleet, SPOILT_LOAD_REPORTS[field])
+    sound_fleet.run_slot()
+    for _ in range(5):
+        assert distortions(fleet, sound_fleet) == {}
+        fleet.run_slot()
+        sound_fleet.run_slot()
+
+
+def distortions(fleet: Fleet, sound_fleet: Fleet) -> dict[str, float]:
+    """Return the estimates that differ by more than the reserve of warming servers, with their ratio."""
+    planner, sound_planner = fleet.harness.planner, sound_fleet.harness.planner
+    ratios = {"unit capacity": planner.capacity.unit_capacity / (sound_planner.capacity.unit_capacity or 1.0)}
+    now = fleet.harness.now
+    ratios["demand"] = planner.demand.total_rate(now) / sound_planner.demand.total_rate(now)
+    ratios["report window"] = planner.estimates.mean_report_window / sound_planner.estimates.mean_report_window
+    for number in range(SERVERS):
+        view, sound_view = (chosen.pool.views[server_id(number)] for chosen in (planner, sound_planner))
+        ratios[f"capacity of {number}"] = view.capacity / sound_view.capacity
+        # Few requests vary by chance, and the rate of peers is a difference, which may be 0.
+        ratios[f"attempts of {number}"] = (CHANCE_ALLOWANCE + view.attempt_rate) / (
+            CHANCE_ALLOWANCE + sound_view.attempt_rate
+        )
+        for column, figure in sound_view.load.items():
+            ratios[f"{column} of {number}"] = view.load[column] / figure
+        ratios[f"peer rate of {number}"] = (CHANCE_ALLOWANCE + planner.peers.peer_rate(view, now)) / (
+            CHANCE_ALLOWANCE + sound_planner.peers.peer_rate(sound_view, now)
+        )
+    return {name: ratio for name, ratio in ratios.items() if not MIN_RATIO < ratio < MAX_RATIO}
