Capacity assumed for a new server: no server of its kind outweighs all others

Seen: a server is listed with a weight near 0 (or its capacity is far too large); a cold server of the same kind is then sent more than three times its present capacity.

Cause: the assumed capacity is the average of capacity per unit of weight over a kind; one quotient that is wrong by orders of magnitude decides it.

Change: a quotient counts up to four times the kind's median. Why it works: the successor's limit is then wrong by less than the reserve of warming servers, as for a spoilt rate.

Measured: the new test failed before.

--- a/stackwheel/policy/capacity.py
+++ b/stackwheel/policy/capacity.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 from stackwheel.interface import Settings
-from stackwheel.policy.arithmetic import clamp, exponential_average
+from stackwheel.policy.arithmetic import clamp, exponential_average, median
 from stackwheel.policy.demand import DemandTracker
 from stackwheel.policy.estimates import QUICK_LATENCY_MULTIPLE, LoadEstimates
 from stackwheel.policy.peer_planners import PeerPlanners
+from stackwheel.policy.plausibility import limit_figure
 from stackwheel.policy.servers import ServerPool, ServerView
 
 TARGET_UTILIZATION = 0.7
@@ -94,9 +95,10 @@
             return
         assumed = self.demand.total_rate(now) * self.planner_count / TARGET_UTILIZATION
         assumed /= max(1.0, sum(view.nominal_size for view in views))
+        average_by_kind = {kind: average_without_outliers(unit_capacities) for kind, unit_capacities in measured.items()}
         for view in unmeasured:
-            unit_capacities = measured.get(view.entry.kind) or [assumed]
-            view.capacity = max(MIN_CAPACITY_PER_S, view.nominal_size * sum(unit_capacities) / len(unit_capacities))
+            unit_capacity = average_by_kind.get(view.entry.kind, assumed)
+            view.capacity = max(MIN_CAPACITY_PER_S, view.nominal_size * unit_capacity)
 
     def update_server(self, view: ServerView, median_latency_ms: float, now: float) -> None:
         """Update a server's capacity from its rate and utilization, or else from the unit capacity and its latency."""
@@ -109,3 +111,9 @@
                 self.unit_capacity * view.nominal_size * clamp(latency_factor, MIN_LATENCY_FACTOR, MAX_LATENCY_FACTOR)
             )
         view.capacity = exponential_average(view.capacity, newest, CAPACITY_GAIN)
+
+
+def average_without_outliers(unit_capacities: list[float]) -> float:
+    """Return the average of unit capacities; those far above the median count only up to the plausible limit."""
+    typical = median(unit_capacities)
+    return sum(limit_figure(unit_capacity, typical) for unit_capacity in unit_capacities) / len(unit_capacities)
--- a/tests/policy/test_spoilt_reports.py
+++ b/tests/policy/test_spoilt_reports.py
@@ -179,6 +179,15 @@
     assert worst_cold_load(fleet, SUCCESSOR) <= COLD_SETTINGS.overload_multiple
 
 
+def test_successor_in_a_kind_with_a_spoilt_weight_is_not_overloaded() -> None:
+    """Guards against a cold successor whose assumed capacity follows from one listed weight near 0."""
+    fleet = running_fleet("utilization")
+    fleet.harness.update_endpoints(replace(fleet.harness.entries[REPLACED], weight=1e-5))
+    fleet.run_slot()
+    fleet.harness.update_endpoints(entry(100, 0, started_at=fleet.harness.now))
+    assert worst_cold_load(fleet, SUCCESSOR) <= COLD_SETTINGS.overload_multiple
+
+
 @pytest.mark.parametrize("deployment", DEPLOYMENTS)
 @pytest.mark.parametrize("field", SPOILT_LOAD_REPORTS)
 def test_server_that_restarts_after_a_spoilt_load_report_is_not_overloaded(field: str, deployment: str) -> None:
