--- a/stackwheel/policy/capacity.py
+++ b/stackwheel/policy/capacity.py
@@ -95,7 +95,9 @@
             return
         assumed = self.demand.total_rate(now) * self.planner_count / TARGET_UTILIZATION
         assumed /= max(1.0, sum(view.nominal_size for view in views))
-        average_by_kind = {kind: average_without_outliers(unit_capacities) for kind, unit_capacities in measured.items()}
+        average_by_kind = {
+            kind: average_without_outliers(unit_capacities) for kind, unit_capacities in measured.items()
+        }
         for view in unmeasured:
             unit_capacity = average_by_kind.get(view.entry.kind, assumed)
             view.capacity = max(MIN_CAPACITY_PER_S, view.nominal_size * unit_capacity)
--- a/stackwheel/policy/estimates.py
+++ b/stackwheel/policy/estimates.py
@@ -46,8 +46,8 @@
 REPORT_WINDOW_GAIN = 0.05
 """Smoothing factor of the mean report window, per report."""
 
-MAX_REPORT_WINDOW_MS = 1e6
-"""Maximum value with which a report's window enters the mean report window; longer windows are capped."""
+EXPECTED_WINDOW_INTERVALS = 4.0
+"""Minimum expected window of a report, in report intervals; what a report covers adds up while reports are delayed."""
 
 
 class LoadEstimates:
@@ -64,6 +64,7 @@
     def __init__(self, settings: Settings, pool: ServerPool, demand: DemandTracker) -> None:
         self.pool = pool
         self.demand = demand
+        self.min_expected_window = EXPECTED_WINDOW_INTERVALS * settings.report_interval
         self.rate_allowance = rate_allowance(settings.report_interval)
         self.even_shares: dict[int, float] = {}
         self.load_columns = settings.load_columns
@@ -78,9 +79,8 @@
         attempts = report.attempts
         if view is None or attempts <= 0 or not 0 < report.window < math.inf:
             return False
-        self.mean_report_window = exponential_average(
-            self.mean_report_window, min(report.window, MAX_REPORT_WINDOW_MS), REPORT_WINDOW_GAIN
-        )
+        window_ms = limit_figure(report.window, max(self.min_expected_window, self.mean_report_window))
+        self.mean_report_window = exponential_average(self.mean_report_window, window_ms, REPORT_WINDOW_GAIN)
         reported_rate = attempts * 1000.0 / report.window
         rate = min(MAX_RATE_PER_S, self.limit_rate(view, report.zone, reported_rate, now))
         failed_share = min(report.failures, attempts) / attempts
@@ -101,7 +101,7 @@
         self.record_load(view, report.load)
         if failed_share < 1.0 and success_ms < QUICK_LATENCY_MULTIPLE * self.lowest_latency:
             latency = success_ms  # failures do not indicate load while the other attempts are fast
-        valid_until = now + REPORT_VALIDITY_WINDOWS * report.window
+        valid_until = now + REPORT_VALIDITY_WINDOWS * window_ms
         view.zone_reports[zone] = ZoneReport(valid_until, latency, rate, rate * (1 - failed_share))
         return True
 
--- a/tests/policy/test_spoilt_reports.py
+++ b/tests/policy/test_spoilt_reports.py
@@ -52,6 +52,7 @@
     "long latency": {"mean_latency": DAY_MS},
     "no latency": {"mean_latency": 0.0},
     "short window": {"window": 1e-3},
+    "long window": {"window": DAY_MS},
 }
 
 
@@ -235,3 +236,12 @@
             CHANCE_ALLOWANCE + sound_planner.peers.peer_rate(sound_view, now)
         )
     return {name: ratio for name, ratio in ratios.items() if not MIN_RATIO < ratio < MAX_RATIO}
+
+
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+def test_report_that_stays_valid_for_a_spoilt_window_expires(deployment: str) -> None:
+    """Guards against a report that counts as recent for a day, because its window is spoilt."""
+    fleet = running_fleet(deployment)
+    spoil_load_report(fleet, SPOILT_LOAD_REPORTS["long window"])
+    view = fleet.harness.planner.pool.views[REPLACED]
+    assert view.zone_reports[0].valid_until <= fleet.harness.now + 60_000.0
