Load figures and the rate of silent peers that follows from them are limited to what is plausible

Seen: a LOAD line with util=inflight: makes one server, or without reported utilization every server, count as able to do a hundred million times what it can while a peer is silent; a server that restarts then is sent over three times its capacity.

Cause: every finite figure entered an average that needs some thirty reports to forget it, and peer_rate derives the peers' rate, and so the capacity, from the requests in flight.

Change: a utilization counts up to 2, other figures up to 16 times the expected one plus 64; the peers' rate up to four times the expected one. Why it works: the rate that enters a capacity is then wrong by less than the reserve of warming servers, and the figure itself is forgotten within five slots.

--- a/stackwheel/policy/estimates.py
+++ b/stackwheel/policy/estimates.py
@@ -49,6 +49,15 @@
 EXPECTED_WINDOW_INTERVALS = 4.0
 """Minimum expected window of a report, in report intervals; what a report covers adds up while reports are delayed."""
 
+MAX_UTILIZATION = 2.0
+"""Maximum utilization with which a report counts; reports are noisy, so that a busy server may report more than 1."""
+
+MAX_STALL_GROWTH = 16.0
+"""Maximum ratio of another load figure to the expected one; a server that stalls collects requests within a report."""
+
+STALL_ALLOWANCE = 64.0
+"""Number of requests by which such a load figure may exceed the maximum ratio."""
+
 
 class LoadEstimates:
     """Updates the moving averages of all servers; averages without recent reports approach the median of all servers.
@@ -59,6 +68,7 @@
         mean_report_window: moving average of the windows of load reports, ms.
         even_shares: demand of a zone in this slot, requests per second, divided by the number of ready servers; by
             zone, computed with the zone's first report in the slot.
+        median_loads: median of each load figure over the servers that have reported it, as of this slot.
     """
 
     def __init__(self, settings: Settings, pool: ServerPool, demand: DemandTracker) -> None:
@@ -68,6 +78,7 @@
         self.rate_allowance = rate_allowance(settings.report_interval)
         self.even_shares: dict[int, float] = {}
         self.load_columns = settings.load_columns
+        self.median_loads: dict[str, float] = {}
         objectives = sum(requirements.latency_objective for requirements in settings.classes)
         self.mean_objective_ms = objectives / max(1, len(settings.classes))
         self.lowest_latency = 0.0
@@ -118,11 +129,20 @@
 
     def record_load(self, view: ServerView, load: tuple[float, ...]) -> None:
         """Update the load figures of a server; they are in the order of the load columns in the settings."""
-        figures = zip(self.load_columns, load, strict=False)
-        usable = {column: figure for column, figure in figures if 0 <= figure < math.inf}
-        view.load.update(
-            {column: exponential_average(view.load.get(column), figure, RATE_GAIN) for column, figure in usable.items()}
-        )
+        for column, reported in zip(self.load_columns, load, strict=False):
+            if 0 <= reported < math.inf:
+                figure = self.limit_load(view, column, reported)
+                view.load[column] = exponential_average(view.load.get(column), figure, RATE_GAIN)
+
+    def limit_load(self, view: ServerView, column: str, reported: float) -> float:
+        """Return a load figure that a server reports, limited to what is plausible.
+
+        The expected figure is that of the server's earlier reports, or the median of all servers if that is higher.
+        """
+        if column == "utilization":
+            return min(MAX_UTILIZATION, reported)
+        expected = max(view.load.get(column, 0.0), self.median_loads.get(column, 0.0))
+        return limit_figure(reported, expected, STALL_ALLOWANCE, MAX_STALL_GROWTH)
 
     def record_health_check(self, result: HealthCheckResult, now: float) -> None:
         """Update a server after a health check that returned load figures or showed that the server is saturated."""
@@ -143,6 +163,10 @@
     def decay_unconfirmed(self, median_latency_ms: float, now: float) -> None:
         """Remove expired reports, and move latencies without a valid report towards the median of all servers."""
         self.even_shares.clear()
+        for column in self.load_columns:
+            self.median_loads[column] = median(
+                [view.load[column] for view in self.pool.views.values() if column in view.load]
+            )
         for view in self.pool.views.values():
             reports = {zone: report for zone, report in view.zone_reports.items() if report.valid_until > now}
             view.zone_reports = reports
--- a/stackwheel/policy/peer_planners.py
+++ b/stackwheel/policy/peer_planners.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 from stackwheel.interface import Action, SendGossip, Settings
 from stackwheel.policy import gossip
+from stackwheel.policy.plausibility import limit_figure, rate_allowance
 from stackwheel.policy.servers import Rates, ServerPool, ServerView
 
 PEER_STATE_INTERVALS = 3.0
@@ -36,6 +38,7 @@
         gossip_recipients: number of planners that gossip is sent to; 0 if gossip is disabled.
         lifetime_ms: time for which the state of a peer is valid.
         states: states by the index of the peer planner.
+        cached_even_share: result of `even_share` at the time `even_share_at` (ms), which many servers share.
     """
 
     def __init__(self, settings: Settings, pool: ServerPool) -> None:
@@ -43,7 +46,10 @@
         self.planner_count = settings.planner_count
         self.gossip_recipients = settings.planner_count - 1 if settings.gossip_enabled else 0
         self.lifetime_ms = PEER_STATE_INTERVALS * settings.report_interval
+        self.rate_allowance = rate_allowance(settings.report_interval)
         self.states: dict[int, PeerState] = {}
+        self.cached_even_share = 0.0
+        self.even_share_at = -math.inf
 
     def record(self, sender: int, payload: bytes, now: float) -> None:
         """Add the content of a datagram to the state of its sender; the rates are reset if the sender has no proxies.
@@ -67,7 +73,8 @@
 
         The rate comes from gossip. If the states of some peers are missing, the rate is at least the total rate of the
         server less the rate of this planner's proxies. The total rate is estimated from the outstanding requests that
-        the server reports. Without a report, each planner is assumed to cause the same rate as this planner.
+        the server reports, and limited to what is plausible. Without a report, each planner is assumed to cause the
+        same rate as this planner.
         """
         valid_states = self.valid_states(now)
         server = view.entry.server
@@ -77,9 +84,19 @@
         own_rate = view.attempt_rate
         total_rate = own_rate * self.planner_count
         if "outstanding" in view.load and view.latency is not None:
-            total_rate = view.load["outstanding"] * 1000.0 / max(1.0, view.latency)
+            estimated_rate = view.load["outstanding"] * 1000.0 / max(1.0, view.latency)
+            expected_rate = max(own_rate, self.even_share(now)) * self.planner_count
+            total_rate = limit_figure(estimated_rate, expected_rate, self.rate_allowance)
         return max(gossiped, total_rate - own_rate)
 
+    def even_share(self, now: float) -> float:
+        """Return the attempts per second of this planner's proxies, divided by the number of servers."""
+        if self.even_share_at != now:
+            views = self.pool.views.values()
+            self.cached_even_share = sum(view.attempt_rate for view in views) / max(1, len(views))
+            self.even_share_at = now
+        return self.cached_even_share
+
     def announce(self, proxies: int) -> list[Action]:
         """Return the actions that send the request rate to each server, also to those without traffic, to all peers.
 
--- a/stackwheel/policy/plausibility.py
+++ b/stackwheel/policy/plausibility.py
@@ -14,15 +14,16 @@
 """Number of requests by which a figure may exceed the maximum ratio, as small numbers vary by chance."""
 
 
-def limit_figure(reported: float, expected: float, allowance: float = 0.0) -> float:
+def limit_figure(reported: float, expected: float, allowance: float = 0.0, growth: float = MAX_GROWTH) -> float:
     """Return a reported figure, or the highest plausible figure if that is lower.
 
     Args:
         reported: the reported figure.
         expected: the figure that was expected, in the same unit.
-        allowance: amount by which the figure may exceed `MAX_GROWTH` times the expected one, in the same unit.
+        allowance: amount by which the figure may exceed the maximum ratio, in the same unit.
+        growth: maximum ratio of the figure to the expected one.
     """
-    return min(reported, MAX_GROWTH * expected + allowance)
+    return min(reported, growth * expected + allowance)
 
 
 def rate_allowance(report_interval_ms: float) -> float:
