A demand report counts up to what is plausible, so that one spoilt count sheds nothing

Seen: one RATE line with a count of 4,000,000,000 makes a planner whose servers report utilization refuse nearly all requests for some twenty seconds.

Cause: the count went into the zone's demand as it came; only the proxy's own rate was bounded, at a million a second.

Change: a report counts up to four times the proxy's expected rate plus ten requests an interval, or a twentieth of the class's demand. Why it works: one report then moves the demand by less than the reserve of a usual load, and a real rise is followed report by report.

--- a/stackwheel/policy/demand.py
+++ b/stackwheel/policy/demand.py
@@ -7,6 +7,7 @@
 
 from stackwheel.interface import DemandReport, ProxyJoined, Settings
 from stackwheel.policy.arithmetic import MAX_RATE_PER_S, clamp, exponential_average
+from stackwheel.policy.plausibility import limit_figure, rate_allowance
 from stackwheel.policy.proxies import ProxyView
 
 DEMAND_GAIN = 0.5
@@ -15,6 +16,9 @@
 ANNOUNCED_RATE_INTERVALS = 8.0
 """Number of report intervals for which the rate that a joining proxy announces is used until it sends reports."""
 
+NEGLIGIBLE_DEMAND_SHARE = 0.05
+"""Share of the demand of a class that one report may add in any case, because it hardly changes the allocation."""
+
 MIN_DEMAND_PER_S = 1e-3
 """Demand, requests per second, that replaces lower values in order to avoid divisions by zero."""
 
@@ -55,6 +59,7 @@
         self.zones = range(settings.zone_count)
         self.classes = range(len(settings.classes))
         self.announced_rate_ttl_ms = ANNOUNCED_RATE_INTERVALS * settings.report_interval
+        self.rate_allowance = rate_allowance(settings.report_interval)
         self.counters: dict[int, list[DemandCounter]] = {}
         self.last_count_at = 0.0
 
@@ -78,19 +83,38 @@
             counter.rate = max(0.0, counter.rate - (0.0 if announced_rate else rate))
 
     def record(self, report: DemandReport, now: float) -> None:
-        """Add a report to the counters; the proxy's announced rate for its class becomes part of the estimated rate."""
+        """Add the plausible requests of a report to the counters.
+
+        The proxy's announced rate for its class becomes part of the estimated rate.
+        """
         proxy = self.proxies.get(report.proxy)
         request_class = report.request_class
         if proxy is None or not 0 < report.window < math.inf or request_class not in self.classes:
             return
-        rate = min(MAX_RATE_PER_S, report.requests * 1000.0 / report.window)
+        reported_rate = report.requests * 1000.0 / report.window
+        share = self.plausible_share(report, reported_rate, proxy.demand[request_class])
+        rate = min(MAX_RATE_PER_S, share * reported_rate)
         proxy.demand[request_class] = exponential_average(proxy.demand[request_class], rate, DEMAND_GAIN)
         self.last_count_at = self.last_count_at or now - report.window
         counter = self.zone_counters(proxy.zone)[request_class]
-        counter.requests += report.requests
+        counter.requests += share * report.requests
         counter.rate += proxy.announced_rates[request_class]
         proxy.announced_rates[request_class] = 0.0
 
+    def plausible_share(self, report: DemandReport, reported_per_s: float, expected_per_s: float) -> float:
+        """Return the share of a report's requests that is plausible.
+
+        Args:
+            report: the report of a proxy.
+            reported_per_s: requests per second according to the report.
+            expected_per_s: requests per second of the class according to earlier reports of the proxy.
+        """
+        if reported_per_s <= 0:
+            return 1.0
+        class_rate = sum(counters[report.request_class].rate for counters in self.counters.values())
+        allowance = max(self.rate_allowance, NEGLIGIBLE_DEMAND_SHARE * class_rate)
+        return limit_figure(reported_per_s, expected_per_s, allowance) / reported_per_s
+
     def update_rates(self, now: float) -> None:
         """Update the rates from the requests since the last update; time without reports counts as no requests."""
         elapsed_ms = now - self.last_count_at
--- a/tests/policy/test_spoilt_reports.py
+++ b/tests/policy/test_spoilt_reports.py
@@ -57,6 +57,11 @@
     "last load column": {"load": (0.5, LARGE)},
     "all load columns": {"load": (LARGE, LARGE)},
 }
+SPOILT_DEMAND_REPORTS: dict[str, dict[str, object]] = {
+    "requests": {"requests": int(LARGE)},
+    "short window": {"window": 1e-3},
+    "long window": {"window": DAY_MS},
+}
 
 
 class Load(NamedTuple):
@@ -254,6 +259,35 @@
     return {name: ratio for name, ratio in ratios.items() if not MIN_RATIO < ratio < MAX_RATIO}
 
 
+@pytest.mark.parametrize("slots", [1, WARM_UP_SLOTS])
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+@pytest.mark.parametrize("field", SPOILT_DEMAND_REPORTS)
+def test_spoilt_demand_report_leads_to_no_load_shedding(field: str, deployment: str, slots: int) -> None:
+    """Guards against a planner that refuses nearly all requests because one proxy reported too many."""
+    fleet = running_fleet(deployment, slots)
+    report = DemandReport(0, 0, round(fleet.rate), 0, 1000.0)
+    fleet.run_slot(replace(report, **SPOILT_DEMAND_REPORTS[field]))  # type: ignore[arg-type]
+    for _ in range(5):
+        assert fleet.harness.planner.shedding.shed_share == 0.0
+        fleet.run_slot()
+
+
+@pytest.mark.parametrize("slots", [0, 1, WARM_UP_SLOTS])
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+@pytest.mark.parametrize("field", SPOILT_DEMAND_REPORTS)
+def test_demand_after_a_spoilt_demand_report_stays_near_that_without_it(
+    field: str, deployment: str, slots: int
+) -> None:
+    fleet, sound_fleet = running_fleet(deployment, slots), running_fleet(deployment, slots)
+    report = DemandReport(0, 0, round(fleet.rate), 0, 1000.0)
+    fleet.run_slot(replace(report, **SPOILT_DEMAND_REPORTS[field]))  # type: ignore[arg-type]
+    sound_fleet.run_slot()
+    for _ in range(5):
+        assert distortions(fleet, sound_fleet) == {}
+        fleet.run_slot()
+        sound_fleet.run_slot()
+
+
 @pytest.mark.parametrize("deployment", DEPLOYMENTS)
 def test_report_that_stays_valid_for_a_spoilt_window_expires(deployment: str) -> None:
     """Guards against a report that counts as recent for a day, because its window is spoilt."""
