The rate that a joining proxy announces is limited by the average of those that report

Seen: a proxy that joins with rps= makes a planner whose servers report utilization refuse nearly all requests until the proxy has reported.

Cause: the announced rate was bounded at a million a second alone.

Change: it counts up to four times the average of the connected proxies that have reported, with the allowance of a demand report. Why it works: the demand then moves by no more than a spoilt report of that proxy could move it.

--- a/stackwheel/policy/demand.py
+++ b/stackwheel/policy/demand.py
@@ -50,6 +50,7 @@
 
     Attributes:
         counters: counters by zone, and by request class.
+        reporting_proxies: number of connected proxies that have sent a report.
         last_count_at: time of the last update of the rates, ms; before the first update, the start of the first
             report's window, or 0 without any report.
     """
@@ -61,6 +62,7 @@
         self.announced_rate_ttl_ms = ANNOUNCED_RATE_INTERVALS * settings.report_interval
         self.rate_allowance = rate_allowance(settings.report_interval)
         self.counters: dict[int, list[DemandCounter]] = {}
+        self.reporting_proxies = 0
         self.last_count_at = 0.0
 
     def zone_counters(self, zone: int) -> list[DemandCounter]:
@@ -71,12 +73,24 @@
 
     def create_proxy_view(self, event: ProxyJoined, now: float) -> ProxyView:
         """Create the view of a joining proxy; its announced rate is divided evenly among the classes."""
-        rate = clamp(event.expected_rate, 0.0, MAX_RATE_PER_S)
+        rate = self.limit_announced_rate(clamp(event.expected_rate, 0.0, MAX_RATE_PER_S))
         even_rates = [rate / max(1, len(self.classes)) for _ in self.classes]
         return ProxyView(event.zone, even_rates, [*even_rates], now)
 
+    def limit_announced_rate(self, announced_per_s: float) -> float:
+        """Return the rate that a joining proxy announces, limited according to the average of the reporting proxies.
+
+        It is not limited while no connected proxy has sent a report.
+        """
+        if not self.reporting_proxies:
+            return announced_per_s
+        reported_per_s = sum(counter.rate for counters in self.counters.values() for counter in counters)
+        allowance = max(self.rate_allowance, NEGLIGIBLE_DEMAND_SHARE * reported_per_s)
+        return limit_figure(announced_per_s, reported_per_s / self.reporting_proxies, allowance)
+
     def subtract_proxy(self, proxy: ProxyView) -> None:
         """Subtract the demand of a proxy that has left from the classes for which it has sent reports."""
+        self.reporting_proxies -= proxy.has_reported
         for counter, rate, announced_rate in zip(
             self.zone_counters(proxy.zone), proxy.demand, proxy.announced_rates, strict=True
         ):
@@ -92,6 +106,8 @@
         if proxy is None or not 0 < report.window < math.inf or request_class not in self.classes:
             return
         reported_rate = report.requests * 1000.0 / report.window
+        self.reporting_proxies += not proxy.has_reported
+        proxy.has_reported = True
         share = self.plausible_share(report, reported_rate, proxy.demand[request_class])
         rate = min(MAX_RATE_PER_S, share * reported_rate)
         proxy.demand[request_class] = exponential_average(proxy.demand[request_class], rate, DEMAND_GAIN)
--- a/tests/policy/test_spoilt_reports.py
+++ b/tests/policy/test_spoilt_reports.py
@@ -12,7 +12,7 @@
 from policy_harness import SETTINGS, PolicyHarness, entry, server_id
 
 from stackwheel import interface
-from stackwheel.interface import Availability, DemandReport, LoadReport, ServerId
+from stackwheel.interface import Availability, DemandReport, LoadReport, ProxyJoined, ServerId
 from stackwheel.policy.plausibility import CHANCE_ALLOWANCE
 from stackwheel.policy.slow_start import WARMING_LOAD_SHARE
 
@@ -288,6 +288,15 @@
         sound_fleet.run_slot()
 
 
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+def test_spoilt_announced_rate_leads_to_no_load_shedding(deployment: str) -> None:
+    fleet = running_fleet(deployment)
+    fleet.run_slot(ProxyJoined(0, 0, LARGE, False))
+    for _ in range(5):
+        assert fleet.harness.planner.shedding.shed_share == 0.0
+        fleet.run_slot()
+
+
 @pytest.mark.parametrize("deployment", DEPLOYMENTS)
 def test_report_that_stays_valid_for_a_spoilt_window_expires(deployment: str) -> None:
     """Guards against a report that counts as recent for a day, because its window is spoilt."""
