Discovery orders: a fetch that fails beside the watches is one of the events

Cause: the test of all orders left out failed fetches, whose failure reaches the policy while a watch or its successor is open. Change: one more event in the table of the test; nothing is removed.

--- a/tests/wire/test_discovery_event_orders.py
+++ b/tests/wire/test_discovery_event_orders.py
@@ -100,6 +100,12 @@
     return client.source != client.address
 
 
+def fetch_fails(client: ScriptedClient) -> bool:
+    """A fetch of the complete list fails beside the watches."""
+    client.report_failure(CallError(Stage.CONNECT, "failed by the test", client.source), client.source)
+    return True
+
+
 def renew(client: ScriptedClient) -> bool:
     client.send(Command.RENEW)
     return True
@@ -129,6 +135,7 @@
     "second watch answers": lambda client: answer(client, client.successor_task),
     "first watch ends": lambda client: end(client, client.watch_task),
     "second watch ends": lambda client: end(client, client.successor_task),
+    "fetch fails": fetch_fails,
     "policy retries": retry,
     "delay expires": delay_expires,
 }
