Log how many reported figures were over the plausible limit in a slot

Cause: a collector or proxy that goes on sending spoilt figures would not be noticed, as they are limited silently; nor could a log tell a spoilt figure from a real rise that is followed late.

--- a/stackwheel/policy/demand.py
+++ b/stackwheel/policy/demand.py
@@ -7,7 +7,7 @@
 
 from stackwheel.interface import DemandReport, ProxyJoined, Settings
 from stackwheel.policy.arithmetic import MAX_RATE_PER_S, clamp, exponential_average
-from stackwheel.policy.plausibility import limit_figure, rate_allowance
+from stackwheel.policy.plausibility import LimitCounter, limit_figure, rate_allowance
 from stackwheel.policy.proxies import ProxyView
 
 DEMAND_GAIN = 0.5
@@ -55,8 +55,9 @@
             report's window, or 0 without any report.
     """
 
-    def __init__(self, settings: Settings, proxies: dict[int, ProxyView]) -> None:
+    def __init__(self, settings: Settings, proxies: dict[int, ProxyView], limited: LimitCounter) -> None:
         self.proxies = proxies
+        self.limited = limited
         self.zones = range(settings.zone_count)
         self.classes = range(len(settings.classes))
         self.announced_rate_ttl_ms = ANNOUNCED_RATE_INTERVALS * settings.report_interval
@@ -86,7 +87,8 @@
             return announced_per_s
         reported_per_s = sum(counter.rate for counters in self.counters.values() for counter in counters)
         allowance = max(self.rate_allowance, NEGLIGIBLE_DEMAND_SHARE * reported_per_s)
-        return limit_figure(announced_per_s, reported_per_s / self.reporting_proxies, allowance)
+        limit = limit_figure(announced_per_s, reported_per_s / self.reporting_proxies, allowance)
+        return self.limited.record(announced_per_s, limit)
 
     def subtract_proxy(self, proxy: ProxyView) -> None:
         """Subtract the demand of a proxy that has left from the classes for which it has sent reports."""
@@ -129,7 +131,8 @@
             return 1.0
         class_rate = sum(counters[report.request_class].rate for counters in self.counters.values())
         allowance = max(self.rate_allowance, NEGLIGIBLE_DEMAND_SHARE * class_rate)
-        return limit_figure(reported_per_s, expected_per_s, allowance) / reported_per_s
+        limit = limit_figure(reported_per_s, expected_per_s, allowance)
+        return self.limited.record(reported_per_s, limit) / reported_per_s
 
     def update_rates(self, now: float) -> None:
         """Update the rates from the requests since the last update; time without reports counts as no requests."""
--- a/stackwheel/policy/planner.py
+++ b/stackwheel/policy/planner.py
@@ -21,6 +21,7 @@
     GossipReceived,
     HealthCheckResult,
     LoadReport,
+    Log,
     ProxyJoined,
     ProxyLeft,
     SetTimer,
@@ -40,6 +41,7 @@
 from stackwheel.policy.load_shedding import LoadShedding
 from stackwheel.policy.outlier_ejection import OutlierEjection
 from stackwheel.policy.peer_planners import PeerPlanners
+from stackwheel.policy.plausibility import LimitCounter
 from stackwheel.policy.proxies import ProxyView
 from stackwheel.policy.servers import ServerPool
 from stackwheel.policy.table_groups import TableGroups
@@ -74,12 +76,13 @@
         self.slot = Slot()
         self.has_new_reports = False
         self.proxies: dict[int, ProxyView] = {}
+        self.limited = LimitCounter()
         self.channel = ChannelBudget(settings)
         self.pool = ServerPool(settings)
         self.endpoints = EndpointTracker(settings, random, self.actions, self.pool)
-        self.demand = DemandTracker(settings, self.proxies)
+        self.demand = DemandTracker(settings, self.proxies, self.limited)
         self.peers = PeerPlanners(settings, self.pool)
-        self.estimates = LoadEstimates(settings, self.pool, self.demand)
+        self.estimates = LoadEstimates(settings, self.pool, self.demand, self.limited)
         self.capacity = CapacityEstimates(settings, self.pool, self.demand, self.peers, self.estimates)
         self.ejection = OutlierEjection(settings, self.pool, self.estimates)
         self.shedding = LoadShedding(settings, self.pool, self.proxies, self.demand, self.peers, self.estimates)
@@ -189,6 +192,8 @@
                 self.updates.request_urgent_update()
             self.shedding.update(now)
             self.actions += self.health_checks.start(now)
+        if limited_count := self.limited.take():
+            self.actions.append(Log(f"reported figures over the plausible limit: count={limited_count}"))
         # Planners without proxies also send gossip, as peers would otherwise reserve part of the load limits of warming
         # servers for them.
         if has_reports or not self.proxies:
--- a/stackwheel/policy/plausibility.py
+++ b/stackwheel/policy/plausibility.py
@@ -29,3 +29,27 @@
 def rate_allowance(report_interval_ms: float) -> float:
     """Return the allowance for a rate, requests per second: `CHANCE_ALLOWANCE` in each report interval."""
     return CHANCE_ALLOWANCE * 1000.0 / report_interval_ms
+
+
+class LimitCounter:
+    """Counts the figures that were limited, for the log.
+
+    Attributes:
+        count: number of figures since the last call of `take`.
+    """
+
+    __slots__ = ("count",)
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def record(self, reported: float, limited: float) -> float:
+        """Count a figure if it was limited, and return what counts of it."""
+        self.count += limited < reported
+        return limited
+
+    def take(self) -> int:
+        """Return the number of limited figures, and start to count from 0."""
+        count = self.count
+        self.count = 0
+        return count
--- a/tests/policy/test_spoilt_reports.py
+++ b/tests/policy/test_spoilt_reports.py
@@ -239,6 +239,19 @@
         assert MIN_RATIO * figure < view.load[column] < MAX_RATIO * figure
 
 
+def test_limited_figures_are_logged_once_per_slot() -> None:
+    """Guards against a faulty collector that nobody notices, because its figures are limited silently."""
+    fleet = running_fleet("utilization")
+    assert "reported figures over the plausible limit: count=1" not in logged_texts(fleet)
+    spoil_load_report(fleet, SPOILT_LOAD_REPORTS["attempts"])
+    fleet.run_slot()
+    assert logged_texts(fleet) == ["reported figures over the plausible limit: count=1"]
+
+
+def logged_texts(fleet: Fleet) -> list[str]:
+    return [action.text for action in fleet.harness.actions if isinstance(action, interface.Log)]
+
+
 def distortions(fleet: Fleet, sound_fleet: Fleet) -> dict[str, float]:
     """Return the estimates that differ by more than the reserve of warming servers, with their ratio."""
     planner, sound_planner = fleet.harness.planner, sound_fleet.harness.planner
