--- a/stackwheel/cells/design.py
+++ b/stackwheel/cells/design.py
@@ -40,7 +40,10 @@
 """
 
 DEFAULT_FIRST_PORT = 20_001
-"""Default of the lowest cell port, between the ports of common services and the ephemeral ports of Linux."""
+"""Default of the lowest cell port, between the ports of common services and the ephemeral ports of Linux.
+
+The lowest ephemeral port is 12,767 ports above it.
+"""
 
 Scope = tuple[str, ...]
 """The regions that a group of cells covers; empty for all regions."""
--- a/stackwheel/policy/allocation.py
+++ b/stackwheel/policy/allocation.py
@@ -18,7 +18,10 @@
 from stackwheel.policy.servers import Rates, ServerPool
 
 CROSS_ZONE_LATENCY_OBJECTIVES = 30.0
-"""Latency, as a multiple of the mean latency objective, that is equivalent to one unit of the cross-zone cost."""
+"""Latency, as a multiple of the mean latency objective, that is equivalent to one unit of the cross-zone cost.
+
+It is the weight V of the cost in the paper.
+"""
 
 SCORE_POWER = 3.0
 """Exponent by which the preference for a server decreases with its score."""
--- a/stackwheel/policy/channel.py
+++ b/stackwheel/policy/channel.py
@@ -33,6 +33,8 @@
 MIN_LINES_PER_OVERHEAD = 5.0
 """Minimum number of lines per message for which the rate of routine changes has to suffice, in message overheads.
 
+With fewer lines per message, most of what is sent would be overhead.
+
 It limits the number of proxies of a table group, to each of which a message can be sent in every report interval.
 """
 
--- a/stackwheel/policy/estimates.py
+++ b/stackwheel/policy/estimates.py
@@ -41,7 +41,7 @@
 """Relative increase of the lowest median latency per slot, so that it adapts to a permanent change of the latency."""
 
 REPORT_VALIDITY_WINDOWS = 2.0
-"""Time for which a report is valid, as a multiple of its window."""
+"""Time for which a report is valid, as a multiple of its window; the next report may come that late."""
 
 REPORT_WINDOW_GAIN = 0.05
 """Smoothing factor of the mean report window, per report."""
--- a/stackwheel/policy/health_checks.py
+++ b/stackwheel/policy/health_checks.py
@@ -9,7 +9,7 @@
 from stackwheel.policy.table_groups import TableGroups
 
 LATE_REPORT_WINDOW_INTERVALS = 4.0
-"""Mean window of the load reports, in report intervals, above which health checks are sent."""
+"""Mean window of the load reports, in report intervals, above which health checks are sent and worth their cost."""
 
 MAX_CHECKS_PER_REQUEST = 0.06
 """Maximum number of health checks per request, which limits the load from health checks."""
--- a/stackwheel/policy/load_shedding.py
+++ b/stackwheel/policy/load_shedding.py
@@ -60,7 +60,10 @@
 """Relative change of an admission level up to which the change is not sent."""
 
 RETRY_MODE = Retry.ONCE_IF_NOT_EXECUTED
-"""Retry mode of all classes; it is safe without idempotency and limits the load from retries during overload."""
+"""Retry mode of all classes; it is safe without idempotency and limits the load from retries during overload.
+
+Retries after any failure doubled the load just when there were too few servers.
+"""
 
 
 class LoadShedding:
--- a/stackwheel/policy/outlier_ejection.py
+++ b/stackwheel/policy/outlier_ejection.py
@@ -11,7 +11,7 @@
 """Share of failed attempts up to which a server is not ejected."""
 
 OUTLIER_MULTIPLE = 3
-"""Multiple of the median failure share up to which a server is not ejected."""
+"""Multiple of the median failure share up to which a server is not ejected, because its fault is one that all have."""
 
 UNCONDITIONAL_FAILURE_SHARE = 0.8
 """Share of failed attempts above which a server is ejected regardless of its latency."""
--- a/stackwheel/policy/peer_planners.py
+++ b/stackwheel/policy/peer_planners.py
@@ -14,7 +14,10 @@
 """Number of report intervals for which the state of a peer is valid after its last datagram."""
 
 MAX_DATAGRAMS_PER_INTERVAL = 128
-"""Maximum number of gossip datagrams per planner and report interval; a planner that needs more sends none."""
+"""Maximum number of gossip datagrams per planner and report interval; a planner that needs more sends none.
+
+The limit bounds what one planner has to read from its peers.
+"""
 
 
 class PeerState(NamedTuple):
--- a/stackwheel/relay/cell_view.py
+++ b/stackwheel/relay/cell_view.py
@@ -15,10 +15,16 @@
 from stackwheel.relay.encoding import encode_instance, encode_line, encode_unreadable
 
 MAX_NEWER_GENERATIONS = 64
-"""Maximum number of remembered generations that clients already have and this relay has not received yet."""
+"""Maximum number of remembered generations that clients already have and this relay has not received yet.
+
+It is four for each planner of a cell of 16.
+"""
 
 MAX_CACHED_DELTAS = 16
-"""Maximum number of cached encoded deltas, each of which starts after a different generation."""
+"""Maximum number of cached encoded deltas, each of which starts after a different generation.
+
+It is one for each planner of a cell of 16.
+"""
 
 NO_GENERATION = -1
 """A value below every generation, for an attribute that has no generation."""
--- a/stackwheel/state/planner_actor.py
+++ b/stackwheel/state/planner_actor.py
@@ -54,7 +54,7 @@
 """Maximum number of queued messages; a full mailbox accepts only messages whose loss no later message can correct."""
 
 MIN_RESTART_INTERVAL_MS = 1000.0
-"""Minimum time between two restarts of the policy."""
+"""Minimum time between two restarts of a policy that fails again and again."""
 
 NOT_LISTED_START_TIME = -1.0
 """Start time used for servers that are not listed; no process has this start time."""
--- a/stackwheel/state/server_ids.py
+++ b/stackwheel/state/server_ids.py
@@ -28,7 +28,10 @@
         self.names: dict[ServerId, str] = {}
 
     def register(self, name: str) -> ServerId | None:
-        """Store the name of a listed server and return its id; None if the id collides with that of another server."""
+        """Store the name of a listed server and return its id; None if the id collides with that of another server.
+
+        The other server would otherwise get the updates that are meant for this one.
+        """
         server = server_id(name)
         registered_name = self.names.setdefault(server, name)
         if registered_name != name:
--- a/stackwheel/state/streams.py
+++ b/stackwheel/state/streams.py
@@ -19,7 +19,10 @@
 """Maximum number of stored unacknowledged nonces per stream; a stream usually times out before it has as many."""
 
 CLOCK_TOLERANCE_MS = 1000.0
-"""Maximum amount by which the duration stated in an acknowledgement may exceed the time since the nonce was sent."""
+"""Maximum amount by which the duration stated in an acknowledgement may exceed the time since the nonce was sent.
+
+The planner starts to measure later than the proxy.
+"""
 
 
 class StreamConnection(Protocol):
--- a/stackwheel/wire/discovery_protocol.py
+++ b/stackwheel/wire/discovery_protocol.py
@@ -30,7 +30,7 @@
 """Maximum length of an invalid value in an error message."""
 
 MAX_LOGGED_ERROR_CHARACTERS = 200
-"""Maximum length of an error message in the log."""
+"""Maximum length of an error message in the log; an endpoint list may be wrong in every entry."""
 
 
 def replica_addresses(address: str) -> list[str]:
--- a/stackwheel/wire/endpoint_list_server.py
+++ b/stackwheel/wire/endpoint_list_server.py
@@ -36,8 +36,8 @@
 from stackwheel.wire.http import split_address, wait_for_result
 
 MAX_SNAPSHOT_BYTES = 64 << 20  # total size of the snapshots being sent; 512 of them for cells with 512 servers
-SEND_BUFFER_BYTES = 64 << 10  # size of the kernel's send buffer of a connection
-HEARTBEAT_SLICES = 8  # groups of watches whose heartbeats are sent at different times within an interval
+SEND_BUFFER_BYTES = 64 << 10  # size of the kernel's send buffer, where the unread data of a slow reader stays
+HEARTBEAT_SLICES = 8  # groups of watches whose heartbeats are sent at different times, so that not all come at once
 LISTEN_BACKLOG = 1024  # connections to one cell's listener that wait to be accepted, from all its planners
 MAX_REASON_CHARACTERS = 200  # length of the body of a rejection
 TOO_MANY_CONNECTIONS = "too many connections"  # body of a 503 response
--- a/stackwheel/wire/endpoint_requests.py
+++ b/stackwheel/wire/endpoint_requests.py
@@ -14,10 +14,10 @@
 from stackwheel.wire.discovery_protocol import INSTANCES_PATH
 from stackwheel.wire.http import wait_for_result
 
-MAX_REQUEST_HEAD_BYTES = 8 << 10
+MAX_REQUEST_HEAD_BYTES = 8 << 10  # the head of a planner's request has about 150 bytes
 REQUEST_TIMEOUT_MS = timing.RESPONSE_TIMEOUT_MS  # for the complete request; clients wait no longer for a response
 MAX_GENERATION_DIGITS = 18  # 18 digits fit into 64 bits
-MAX_QUERY_FIELDS = 16
+MAX_QUERY_FIELDS = 16  # two are known
 
 
 @dataclass(frozen=True, slots=True)
--- a/stackwheel/wire/endpoint_watch.py
+++ b/stackwheel/wire/endpoint_watch.py
@@ -15,7 +15,7 @@
 from stackwheel.wire.byte_budget import ByteBudget
 from stackwheel.wire.http import wait_for_result
 
-MAX_PENDING_BYTES = 64 << 10  # size of the deltas queued for one watcher, above which a snapshot replaces them
+MAX_PENDING_BYTES = 64 << 10  # of the deltas queued for one watcher; above it, a snapshot is hardly larger
 HEARTBEAT_CHUNK = b"1\r\n\n\r\n"  # an empty line
 
 
--- a/stackwheel/wire/timing.py
+++ b/stackwheel/wire/timing.py
@@ -53,8 +53,8 @@
 # Maximum time from accepting a connection until the bytes that the client sent immediately have been read.
 FIRST_READ_GRACE_MS = 50.0
 
-# Same as FIRST_READ_GRACE_MS while many connections arrive at once and one iteration of the event loop takes longer.
-# It applies only while descriptors are still available, so that no new connection is delayed by it.
+# Same as FIRST_READ_GRACE_MS while many connections arrive at once and one iteration of the event loop takes longer, up
+# to 60 ms. It applies only while descriptors are still available, so that no new connection is delayed by it.
 BURST_FIRST_READ_GRACE_MS = 4 * FIRST_READ_GRACE_MS
 
 # Maximum size of the messages queued for a client that does not read. The line protocol's limit on data that the
@@ -74,13 +74,14 @@
 # Delay after a failure to accept a connection.
 ACCEPT_RETRY_MS = 10.0
 
-# Delay before a background task is restarted after an unexpected error.
+# Delay before a background task is restarted after an unexpected error: soon, but without a storm of restarts.
 TASK_RESTART_MS = 100.0
 
 # Maximum number of accepted connections that are being set up at the same time.
 MAX_CONCURRENT_ACCEPTS = 64
 
-# Number of connections that may arrive within one iteration of the event loop when all proxies connect at once.
+# Number of connections that may arrive within one iteration of the event loop when all proxies connect at once. Up to
+# 67 waited when 1,100 connected within a second.
 MAX_ARRIVALS_PER_LOOP_ITERATION = 128
 
 # Maximum number of connections that wait to be accepted, as all proxies may connect at once; the usual maximum of the
