Limits of figures: one call for each figure; a seeded test with every twentieth report spoilt

Nothing showed that spoilt figures do not add up.

Change: FigureLimiter limits and counts in one call, the sum is made where the usual limit is passed, counts of proxies are plain statements. The new test restarts twelve servers one after another while reports of any kind arrive spoilt in any field.

--- a/stackwheel/policy/demand.py
+++ b/stackwheel/policy/demand.py
@@ -7,7 +7,7 @@
 
 from stackwheel.interface import DemandReport, ProxyJoined, Settings
 from stackwheel.policy.arithmetic import MAX_RATE_PER_S, clamp, exponential_average
-from stackwheel.policy.plausibility import LimitCounter, limit_figure, rate_allowance
+from stackwheel.policy.plausibility import MAX_GROWTH, FigureLimiter, rate_allowance
 from stackwheel.policy.proxies import ProxyView
 
 DEMAND_GAIN = 0.5
@@ -55,9 +55,9 @@
             report's window, or 0 without any report.
     """
 
-    def __init__(self, settings: Settings, proxies: dict[int, ProxyView], limited: LimitCounter) -> None:
+    def __init__(self, settings: Settings, proxies: dict[int, ProxyView], limiter: FigureLimiter) -> None:
         self.proxies = proxies
-        self.limited = limited
+        self.limiter = limiter
         self.zones = range(settings.zone_count)
         self.classes = range(len(settings.classes))
         self.announced_rate_ttl_ms = ANNOUNCED_RATE_INTERVALS * settings.report_interval
@@ -87,12 +87,13 @@
             return announced_per_s
         reported_per_s = sum(counter.rate for counters in self.counters.values() for counter in counters)
         allowance = max(self.rate_allowance, NEGLIGIBLE_DEMAND_SHARE * reported_per_s)
-        limit = limit_figure(announced_per_s, reported_per_s / self.reporting_proxies, allowance)
-        return self.limited.record(announced_per_s, limit)
+        average_per_s = reported_per_s / self.reporting_proxies
+        return self.limiter.limit(announced_per_s, MAX_GROWTH * average_per_s + allowance)
 
     def subtract_proxy(self, proxy: ProxyView) -> None:
         """Subtract the demand of a proxy that has left from the classes for which it has sent reports."""
-        self.reporting_proxies -= proxy.has_reported
+        if proxy.has_reported:
+            self.reporting_proxies -= 1
         for counter, rate, announced_rate in zip(
             self.zone_counters(proxy.zone), proxy.demand, proxy.announced_rates, strict=True
         ):
@@ -108,8 +109,9 @@
         if proxy is None or not 0 < report.window < math.inf or request_class not in self.classes:
             return
         reported_rate = report.requests * 1000.0 / report.window
-        self.reporting_proxies += not proxy.has_reported
-        proxy.has_reported = True
+        if not proxy.has_reported:
+            proxy.has_reported = True
+            self.reporting_proxies += 1
         share = self.plausible_share(report, reported_rate, proxy.demand[request_class])
         rate = min(MAX_RATE_PER_S, share * reported_rate)
         proxy.demand[request_class] = exponential_average(proxy.demand[request_class], rate, DEMAND_GAIN)
@@ -127,12 +129,12 @@
             reported_per_s: requests per second according to the report.
             expected_per_s: requests per second of the class according to earlier reports of the proxy.
         """
-        if reported_per_s <= 0:
-            return 1.0
+        usual_per_s = MAX_GROWTH * expected_per_s
+        if reported_per_s <= usual_per_s + self.rate_allowance:
+            return 1.0  # without the sum over all zones, which few reports need
         class_rate = sum(counters[report.request_class].rate for counters in self.counters.values())
         allowance = max(self.rate_allowance, NEGLIGIBLE_DEMAND_SHARE * class_rate)
-        limit = limit_figure(reported_per_s, expected_per_s, allowance)
-        return self.limited.record(reported_per_s, limit) / reported_per_s
+        return self.limiter.limit(reported_per_s, usual_per_s + allowance) / reported_per_s
 
     def update_rates(self, now: float) -> None:
         """Update the rates from the requests since the last update; time without reports counts as no requests."""
--- a/stackwheel/policy/estimates.py
+++ b/stackwheel/policy/estimates.py
@@ -10,7 +10,7 @@
 from stackwheel.interface import HealthCheckOutcome, HealthCheckResult, LoadReport, Settings
 from stackwheel.policy.arithmetic import MAX_RATE_PER_S, clamp, exponential_average, median
 from stackwheel.policy.demand import DemandTracker
-from stackwheel.policy.plausibility import LimitCounter, limit_figure, rate_allowance
+from stackwheel.policy.plausibility import MAX_GROWTH, FigureLimiter, limit_figure, rate_allowance
 from stackwheel.policy.servers import ServerPool, ServerView, ZoneReport
 
 RATE_GAIN = 0.5
@@ -56,7 +56,7 @@
 """Maximum ratio of another load figure to the expected one; a server that stalls collects requests within a report."""
 
 STALL_ALLOWANCE = 64.0
-"""Number of requests by which such a load figure may exceed the maximum ratio."""
+"""Amount by which such a load figure may exceed the maximum ratio; requests, for the columns that count them."""
 
 
 class LoadEstimates:
@@ -71,10 +71,10 @@
         median_loads: median of each load figure over the servers that have reported it, as of this slot.
     """
 
-    def __init__(self, settings: Settings, pool: ServerPool, demand: DemandTracker, limited: LimitCounter) -> None:
+    def __init__(self, settings: Settings, pool: ServerPool, demand: DemandTracker, limiter: FigureLimiter) -> None:
         self.pool = pool
         self.demand = demand
-        self.limited = limited
+        self.limiter = limiter
         self.min_expected_window = EXPECTED_WINDOW_INTERVALS * settings.report_interval
         self.rate_allowance = rate_allowance(settings.report_interval)
         self.even_shares: dict[int, float] = {}
@@ -126,7 +126,7 @@
             demand = sum(self.demand.rates_by_class(now, zone))
             self.even_shares[zone] = demand / max(1, len(self.pool.ready()))
         expected = max(view.attempt_rates.get(zone, 0.0), self.even_shares[zone])
-        return self.limited.record(reported_rate, limit_figure(reported_rate, expected, self.rate_allowance))
+        return self.limiter.limit(reported_rate, MAX_GROWTH * expected + self.rate_allowance)
 
     def record_load(self, view: ServerView, load: tuple[float, ...]) -> None:
         """Update the load figures of a server; they are in the order of the load columns in the settings."""
@@ -141,9 +141,9 @@
         The expected figure is that of the server's earlier reports, or the median of all servers if that is higher.
         """
         if column == "utilization":
-            return self.limited.record(reported, min(MAX_UTILIZATION, reported))
+            return self.limiter.limit(reported, MAX_UTILIZATION)
         expected = max(view.load.get(column, 0.0), self.median_loads.get(column, 0.0))
-        return self.limited.record(reported, limit_figure(reported, expected, STALL_ALLOWANCE, MAX_STALL_GROWTH))
+        return self.limiter.limit(reported, MAX_STALL_GROWTH * expected + STALL_ALLOWANCE)
 
     def record_health_check(self, result: HealthCheckResult, now: float) -> None:
         """Update a server after a health check that returned load figures or showed that the server is saturated."""
--- a/stackwheel/policy/planner.py
+++ b/stackwheel/policy/planner.py
@@ -41,7 +41,7 @@
 from stackwheel.policy.load_shedding import LoadShedding
 from stackwheel.policy.outlier_ejection import OutlierEjection
 from stackwheel.policy.peer_planners import PeerPlanners
-from stackwheel.policy.plausibility import LimitCounter
+from stackwheel.policy.plausibility import FigureLimiter
 from stackwheel.policy.proxies import ProxyView
 from stackwheel.policy.servers import ServerPool
 from stackwheel.policy.table_groups import TableGroups
@@ -76,13 +76,13 @@
         self.slot = Slot()
         self.has_new_reports = False
         self.proxies: dict[int, ProxyView] = {}
-        self.limited = LimitCounter()
+        self.limiter = FigureLimiter()
         self.channel = ChannelBudget(settings)
         self.pool = ServerPool(settings)
         self.endpoints = EndpointTracker(settings, random, self.actions, self.pool)
-        self.demand = DemandTracker(settings, self.proxies, self.limited)
+        self.demand = DemandTracker(settings, self.proxies, self.limiter)
         self.peers = PeerPlanners(settings, self.pool)
-        self.estimates = LoadEstimates(settings, self.pool, self.demand, self.limited)
+        self.estimates = LoadEstimates(settings, self.pool, self.demand, self.limiter)
         self.capacity = CapacityEstimates(settings, self.pool, self.demand, self.peers, self.estimates)
         self.ejection = OutlierEjection(settings, self.pool, self.estimates)
         self.shedding = LoadShedding(settings, self.pool, self.proxies, self.demand, self.peers, self.estimates)
@@ -192,7 +192,7 @@
                 self.updates.request_urgent_update()
             self.shedding.update(now)
             self.actions += self.health_checks.start(now)
-        if limited_count := self.limited.take():
+        if limited_count := self.limiter.take_limited_count():
             self.actions.append(Log(f"reported figures over the plausible limit: count={limited_count}"))
         # Planners without proxies also send gossip, as peers would otherwise reserve part of the load limits of warming
         # servers for them.
--- a/stackwheel/policy/plausibility.py
+++ b/stackwheel/policy/plausibility.py
@@ -14,16 +14,15 @@
 """Number of requests by which a figure may exceed the maximum ratio, as small numbers vary by chance."""
 
 
-def limit_figure(reported: float, expected: float, allowance: float = 0.0, growth: float = MAX_GROWTH) -> float:
+def limit_figure(reported: float, expected: float, allowance: float = 0.0) -> float:
     """Return a reported figure, or the highest plausible figure if that is lower.
 
     Args:
         reported: the reported figure.
         expected: the figure that was expected, in the same unit.
         allowance: amount by which the figure may exceed the maximum ratio, in the same unit.
-        growth: maximum ratio of the figure to the expected one.
     """
-    return min(reported, growth * expected + allowance)
+    return min(reported, MAX_GROWTH * expected + allowance)
 
 
 def rate_allowance(report_interval_ms: float) -> float:
@@ -31,25 +30,27 @@
     return CHANCE_ALLOWANCE * 1000.0 / report_interval_ms
 
 
-class LimitCounter:
-    """Counts the figures that were limited, for the log.
+class FigureLimiter:
+    """Limits reported figures to the highest plausible ones, and counts those that were higher, for the log.
 
     Attributes:
-        count: number of figures since the last call of `take`.
+        limited_count: number of limited figures since the last call of `take_limited_count`.
     """
 
-    __slots__ = ("count",)
+    __slots__ = ("limited_count",)
 
     def __init__(self) -> None:
-        self.count = 0
+        self.limited_count = 0
 
-    def record(self, reported: float, limited: float) -> float:
-        """Count a figure if it was limited, and return what counts of it."""
-        self.count += limited < reported
-        return limited
+    def limit(self, reported: float, highest: float) -> float:
+        """Return a reported figure, or the highest plausible figure if that is lower."""
+        if reported <= highest:
+            return reported
+        self.limited_count += 1
+        return highest
 
-    def take(self) -> int:
+    def take_limited_count(self) -> int:
         """Return the number of limited figures, and start to count from 0."""
-        count = self.count
-        self.count = 0
+        count = self.limited_count
+        self.limited_count = 0
         return count
--- a/tests/policy/test_spoilt_reports.py
+++ b/tests/policy/test_spoilt_reports.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import Random
 from typing import NamedTuple
 
 import pytest
@@ -24,6 +25,7 @@
 RATE_PER_S = 11.0  # of each proxy and class: 176 of all, 0.59 of what the servers can process
 WARM_UP_SLOTS = 12
 SLOTS_UNTIL_RESTART = 4
+SPOILT_SHARE = 0.05
 LARGE = 4.0e9  # nearly the maximum of a field
 DAY_MS = 86_400_000.0
 MAX_RATIO = 1.0 / WARMING_LOAD_SHARE  # an estimate that is wrong by less leaves a warming server under its limit
@@ -317,3 +319,34 @@
     spoil_load_report(fleet, SPOILT_LOAD_REPORTS["long window"])
     view = fleet.harness.planner.pool.views[REPLACED]
     assert view.zone_reports[0].valid_until <= fleet.harness.now + 60_000.0
+
+
+def run_slot_with_spoilt_reports(fleet: Fleet, random: Random, share: float) -> None:
+    """Run a slot in which a share of the reports is spoilt, each in one field drawn at random."""
+    spoilt: list[interface.Event] = []
+    for report in fleet.reports():
+        if random.random() >= share:
+            continue
+        if isinstance(report, LoadReport):
+            fields = SPOILT_LOAD_REPORTS[random.choice(list(SPOILT_LOAD_REPORTS))]
+            if "load" in fields:
+                fields = {"load": fields["load"][-len(report.load) :]}  # type: ignore[index]
+        else:
+            fields = SPOILT_DEMAND_REPORTS[random.choice(list(SPOILT_DEMAND_REPORTS))]
+        spoilt.append(replace(report, **fields))  # type: ignore[arg-type]
+    fleet.run_slot(*spoilt)
+
+
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+@pytest.mark.parametrize("seed", range(4))
+def test_no_cold_server_is_overloaded_while_reports_arrive_spoilt_again_and_again(seed: int, deployment: str) -> None:
+    """Guards against spoilt figures that add up: servers restart one after another while each 20th report is spoilt."""
+    fleet = running_fleet(deployment)
+    random = Random(seed)
+    planners = 2.0 if fleet.has_peer else 1.0
+    for number in range(SERVERS):
+        fleet.harness.update_endpoints(replace(fleet.harness.entries[server_id(number)], started_at=fleet.harness.now))
+        for _ in range(round(COLD_SETTINGS.slow_start_duration / 1000.0)):
+            load = fleet.load(server_id(number)).total * planners
+            assert load <= COLD_SETTINGS.overload_multiple * fleet.capacity(server_id(number))
+            run_slot_with_spoilt_reports(fleet, random, SPOILT_SHARE)
