Limits of figures: shares and medians are computed only for figures over the usual limit

Change: a figure within four times (16 times) its server's own earlier figure passes at once; the even share and the median are computed, once a slot, for those above.

--- a/stackwheel/policy/estimates.py
+++ b/stackwheel/policy/estimates.py
@@ -66,9 +66,8 @@
         mean_objective_ms: mean latency objective of the request classes.
         lowest_latency: lowest median latency so far, ms; 0 before the first slot with reports.
         mean_report_window: moving average of the windows of load reports, ms.
-        even_shares: demand of a zone in this slot, requests per second, divided by the number of ready servers; by
-            zone, computed with the zone's first report in the slot.
-        median_loads: median of each load figure over the servers that have reported it, as of this slot.
+        even_shares: results of `even_share` in this slot, by zone; few reports need them.
+        median_loads: results of `median_load` in this slot, by load column; few reports need them.
     """
 
     def __init__(self, settings: Settings, pool: ServerPool, demand: DemandTracker, limiter: FigureLimiter) -> None:
@@ -122,11 +121,18 @@
 
         The expected rate is that of the earlier reports, or an even share of the zone's demand if that is higher.
         """
+        usual_rate = MAX_GROWTH * view.attempt_rates.get(zone, 0.0) + self.rate_allowance
+        if reported_rate <= usual_rate:
+            return reported_rate
+        highest = MAX_GROWTH * self.even_share(zone, now) + self.rate_allowance
+        return self.limiter.limit(reported_rate, max(usual_rate, highest))
+
+    def even_share(self, zone: int, now: float) -> float:
+        """Return the demand of a zone in this slot, divided by the number of ready servers, requests per second."""
         if zone not in self.even_shares:
             demand = sum(self.demand.rates_by_class(now, zone))
             self.even_shares[zone] = demand / max(1, len(self.pool.ready()))
-        expected = max(view.attempt_rates.get(zone, 0.0), self.even_shares[zone])
-        return self.limiter.limit(reported_rate, MAX_GROWTH * expected + self.rate_allowance)
+        return self.even_shares[zone]
 
     def record_load(self, view: ServerView, load: tuple[float, ...]) -> None:
         """Update the load figures of a server; they are in the order of the load columns in the settings."""
@@ -142,8 +148,18 @@
         """
         if column == "utilization":
             return self.limiter.limit(reported, MAX_UTILIZATION)
-        expected = max(view.load.get(column, 0.0), self.median_loads.get(column, 0.0))
-        return self.limiter.limit(reported, MAX_STALL_GROWTH * expected + STALL_ALLOWANCE)
+        usual_load = MAX_STALL_GROWTH * view.load.get(column, 0.0) + STALL_ALLOWANCE
+        if reported <= usual_load:
+            return reported
+        highest = MAX_STALL_GROWTH * self.median_load(column) + STALL_ALLOWANCE
+        return self.limiter.limit(reported, max(usual_load, highest))
+
+    def median_load(self, column: str) -> float:
+        """Return the median of a load figure over the servers that have reported it."""
+        if column not in self.median_loads:
+            loads = [view.load[column] for view in self.pool.views.values() if column in view.load]
+            self.median_loads[column] = median(loads)
+        return self.median_loads[column]
 
     def record_health_check(self, result: HealthCheckResult, now: float) -> None:
         """Update a server after a health check that returned load figures or showed that the server is saturated."""
@@ -164,10 +180,7 @@
     def decay_unconfirmed(self, median_latency_ms: float, now: float) -> None:
         """Remove expired reports, and move latencies without a valid report towards the median of all servers."""
         self.even_shares.clear()
-        for column in self.load_columns:
-            self.median_loads[column] = median(
-                [view.load[column] for view in self.pool.views.values() if column in view.load]
-            )
+        self.median_loads.clear()
         for view in self.pool.views.values():
             reports = {zone: report for zone, report in view.zone_reports.items() if report.valid_until > now}
             view.zone_reports = reports
