--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -26,6 +26,7 @@
 HOST = "127.0.0.1"
 LIST_PATH = "/registry/instances"
 HEARTBEAT_S = 2.0  # an empty line comes every 2 s while nothing changes
+TOLD_AT_LATEST_S = 6.0  # whatever discovery has to tell counts as told at the latest 6 s later
 SLACK_S = 0.3  # the time limits of the rules are longer by 300 ms
 ZONES = ["austin-north", "austin-south", "round-rock", "san-marcos"]
 CLASSES = ["rate-lookup", "quote-save", "load-book"]
@@ -167,6 +168,7 @@
         self.servers: dict[str, Server] = {}
         self.services: list[Discovery] = []
         self.told: dict[str, float] = {}
+        self.latest_told: dict[str, float] = {}  # what discovery has to tell counts as told 6 s later at the latest
 
     async def add(self, name: str, zone: str, cold: bool = False) -> Server:
         """Start a server without telling the discovery services."""
@@ -183,6 +185,8 @@
     def change(self, name: str, lifecycle: str) -> None:
         """Set the state of a server; one that has terminated is stopped."""
         self.servers[name].lifecycle = lifecycle
+        if lifecycle != "in_service":
+            self.latest_told.setdefault(name, self.record.now() + TOLD_AT_LATEST_S)
         for service in self.services:
             service.change(name)
         if lifecycle == "terminated":
@@ -194,6 +198,11 @@
         return {"instanceId": name, "hostPort": server.address, "zone": server.zone, "machineType": "std-3", "cell": 0,
                 "lifecycle": server.lifecycle, "weight": 1.0, "startedAtMs": server.started_ms}  # fmt: skip
 
+    def told_at(self, name: str) -> float | None:
+        """Return when the planner counts as told that a server drains or is gone; None while it serves."""
+        latest = self.latest_told.get(name)
+        return latest if latest is None else min(latest, self.told.get(name, latest))
+
     def written(self, service: Discovery, entries: list[dict[str, Any]]) -> None:
         """Note that a service has written entries to the planner."""
         for entry in entries:
@@ -223,6 +232,8 @@
         self.address = ""
         self.listener: asyncio.Server | None = None
         self.watches: set[asyncio.StreamWriter] = set()
+        self.opened = 0  # watches that have brought their first object
+        self.stopped: set[asyncio.StreamWriter] = set()  # watches whose heartbeats go on, but not their changes
         platform.services.append(self)
 
     async def start(self, port: int = 0) -> None:
@@ -281,6 +292,7 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
             known = since is not None and self.first_generation <= since <= self.generation
             document: dict[str, Any] | None = self.document(since if known else None)
+            first = True
             while True:
                 sent = self.generation if document is None else document["generation"]
                 line = b"\n" if document is None else json.dumps(document).encode() + b"\n"
@@ -288,15 +300,28 @@
                 await writer.drain()
                 if document is not None:
                     self.platform.written(self, document["instances"])
-                async with self.changed:
-                    with contextlib.suppress(TimeoutError):
-                        async with asyncio.timeout(HEARTBEAT_S):
-                            await self.changed.wait_for(lambda sent=sent: self.generation > sent)
-                document = self.document(sent) if self.generation > sent else None
+                    self.opened += first
+                    first = False
+                document = self.document(sent) if await self.has_news(sent, writer) else None
         except OSError:
             pass
         finally:
             self.watches.discard(writer)
+            self.stopped.discard(writer)
+
+    async def has_news(self, sent: int, writer: asyncio.StreamWriter) -> bool:
+        """Wait for a change after a generation that a watch has to tell; returns False when a heartbeat is due."""
+        async with self.changed:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HEARTBEAT_S):
+                    await self.changed.wait_for(lambda: self.generation > sent and writer not in self.stopped)
+                    return True
+        return False
+
+    def stop_changes(self) -> None:
+        """Stop the changes on the watches that are open; their heartbeats go on, and new calls are answered as ever."""
+        self.stopped |= self.watches
+        self.platform.record.line(f"discovery {self.label}: the open watches bring no more changes")
 
     def stop_accepting(self) -> None:
         """Accept no new connection."""
@@ -437,7 +462,7 @@
         """Send the requests of this proxy's clients, at random times."""
         while True:
             await asyncio.sleep(self.random.expovariate(self.rps))
-            task = asyncio.create_task(self.request(self.random.choices(CLASSES, [0.54, 0.26, 0.2])[0]))
+            task = asyncio.create_task(self.request(self.random.choices(CLASSES, [0.54, 0.26, 0.2][: len(CLASSES)])[0]))
             self.fleet.open_requests.add(task)
             task.add_done_callback(self.fleet.open_requests.discard)
 
@@ -531,13 +556,14 @@
         """Note a request on its way to a server, and judge it by the rule on drains; returns the time."""
         now = self.record.now()
         self.requests += 1
-        told = self.platform.told.get(server)
+        told = self.platform.told_at(server)
         self.record.line(f"proxy {proxy.number}: request to {server}")
         if told is not None and proxy.joined_at is not None and self.first_answer is not None:
             start = max(told, proxy.joined_at, self.first_answer + 1.0, self.held_off_until)
             if now > start + self.grace_s + SLACK_S:
                 state = self.platform.servers[server].lifecycle
-                text = f"proxy {proxy.number} sent to {server} ({state}) {now - told:.1f} s after the planner was told"
+                after = f"{now - told:.2f} s after the planner counts as told"
+                text = f"proxy {proxy.number} sent to {server} ({state}) {after}"
                 self.late.append(text)
                 self.record.line(f"LATE {text}")
         return now
@@ -569,33 +595,47 @@
         partial.replace(self.tmp / "config.json")
 
     async def start_planner(self) -> None:
-        """Start the planner with the command of the deploy file, and wait until it answers."""
-        if not self.planner_address:
-            self.planner_address = f"{HOST}:{free_port()}"
-        self.write_config(self.discovery.address)
+        """Start the planner with the command of the deploy file, and wait until it answers.
+
+        At its first start it gets a free port, and another one if something else has taken that port meanwhile.
+        """
+        attempts = 1 if self.planner_address else 5
+        for _ in range(attempts):
+            if attempts > 1:
+                self.planner_address = f"{HOST}:{free_port()}"
+            self.write_config(self.platform.services[-1].address)
+            if await self.launch():
+                self.first_answer = self.record.now()
+                self.record.line("planner: answers")
+                return
+        raise CannotRunError("the planner does not answer; was it built?")
+
+    async def launch(self) -> bool:
+        """Start the planner's process, and return whether it answers within 30 s."""
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))["run"]
         scratch = self.tmp / "planner-tmp"
         scratch.mkdir(exist_ok=True)
         environment = {**os.environ, "ROUTER_CONFIG": str(self.tmp / "config.json"), "TMPDIR": str(scratch)}
-        log = (self.tmp / "planner.log").open("ab")
-        self.planner = await asyncio.create_subprocess_exec(
-            "/bin/sh",
-            "-c",
-            command,
-            cwd=ROOT,
-            env=environment,
-            stdin=asyncio.subprocess.DEVNULL,
-            stdout=log,
-            stderr=log,
-        )
-        log.close()
+        with (self.tmp / "planner.log").open("ab") as log:
+            self.planner = await asyncio.create_subprocess_exec(
+                "/bin/sh",
+                "-c",
+                command,
+                cwd=ROOT,
+                env=environment,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
         deadline = time.monotonic() + 30.0
-        while not await self.ping():
-            if time.monotonic() > deadline or self.planner.returncode is not None:
-                raise CannotRunError("the planner does not answer; was it built?")
+        while self.planner.returncode is None and time.monotonic() < deadline:
             await asyncio.sleep(0.1)
-        self.first_answer = self.record.now()
-        self.record.line("planner: answers")
+            if self.planner.returncode is None and await self.ping():
+                return True
+        if self.planner.returncode is None:
+            self.planner.kill()
+            await self.planner.wait()
+        return False
 
     async def ping(self) -> bool:
         """Return whether the planner answers PING with PONG."""
