--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -341,6 +341,8 @@
 
 # --- Proxies, collectors and the channel ---
 
+Arrival = tuple[float, list[dict[str, str]]]  # when a message reaches its proxy, and its parts
+
 
 class Channel:
     """What is on its way from a planner to its proxies: messages leave it one after the other, at a rate in lines."""
@@ -351,11 +353,10 @@
         self.transit_s = transit_s
         self.free_at = 0.0
 
-    async def carry(self, lines: int) -> None:
-        """Wait until a message of some lines has passed the channel and its way to the proxy."""
-        now = time.monotonic()
-        self.free_at = max(now, self.free_at) + (lines + self.overhead) / self.lines_per_s
-        await asyncio.sleep(self.free_at - now + self.transit_s)
+    def carry(self, lines: int) -> float:
+        """Take in a message of some lines, and return when it reaches its proxy, on the monotonic clock."""
+        self.free_at = max(time.monotonic(), self.free_at) + (lines + self.overhead) / self.lines_per_s
+        return self.free_at + self.transit_s
 
 
 class Met:
@@ -412,7 +413,7 @@
             self.joined_at = self.fleet.record.now()
             self.fleet.record.line(f"proxy {self.number}: joined")
             parts: list[dict[str, str]] = []
-            arrivals: asyncio.Queue[list[dict[str, str]]] = asyncio.Queue()
+            arrivals: asyncio.Queue[Arrival] = asyncio.Queue()
             apply_task = asyncio.create_task(self.apply_in_order(arrivals, writer))
             try:
                 while line := await reader.readline():
@@ -421,18 +422,18 @@
                         raise OSError(f"unexpected {kind}")
                     parts.append(dict(pair.partition("=")[::2] for pair in pairs))
                     if parts[-1].get("continued") != "1":
-                        arrivals.put_nowait(parts)
+                        arrivals.put_nowait((self.fleet.channel.carry(sum(map(line_count, parts))), parts))
                         parts = []
             finally:
                 apply_task.cancel()
         finally:
             writer.transport.abort()
 
-    async def apply_in_order(self, arrivals: asyncio.Queue[list[dict[str, str]]], writer: asyncio.StreamWriter) -> None:
+    async def apply_in_order(self, arrivals: asyncio.Queue[Arrival], writer: asyncio.StreamWriter) -> None:
         """Apply messages one after the other, as the channel brings them, and answer their marks."""
         while True:
-            parts = await arrivals.get()
-            await self.fleet.channel.carry(sum(line_count(part) for part in parts))
+            due_at, parts = await arrivals.get()
+            await asyncio.sleep(due_at - time.monotonic())
             for part in parts:
                 self.apply(part)
             self.updates += 1
@@ -603,7 +604,7 @@
         for _ in range(attempts):
             if attempts > 1:
                 self.planner_address = f"{HOST}:{free_port()}"
-            self.write_config(self.platform.services[-1].address)
+            self.write_config(self.discovery.address)
             if await self.launch():
                 self.first_answer = self.record.now()
                 self.record.line("planner: answers")
