--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -116,6 +116,7 @@
         self.started_ms = started_ms
         self.lifecycle = "in_service"
         self.inflight = 0
+        self.silent = False  # cut off: connections stay quiet
         self.address = ""
         self.listener: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -131,6 +132,8 @@
         self.writers.add(writer)
         try:
             while line := await reader.readline():
+                if self.silent:
+                    continue
                 if line.startswith(b"GET "):
                     body = f"inflight={self.inflight}".encode() if b"/stats" in line else b""
                     status = b"200 OK" if self.lifecycle == "in_service" else b"503 Service Unavailable"
@@ -182,14 +185,14 @@
         await self.add(name, zone, cold=True)
         self.change(name, "in_service")
 
-    def change(self, name: str, lifecycle: str) -> None:
-        """Set the state of a server; one that has terminated is stopped."""
+    def change(self, name: str, lifecycle: str, stop: bool = True) -> None:
+        """Set the state of a server and list it; one that has terminated is stopped, unless it is out of reach."""
         self.servers[name].lifecycle = lifecycle
         if lifecycle != "in_service":
             self.latest_told.setdefault(name, self.record.now() + TOLD_AT_LATEST_S)
         for service in self.services:
             service.change(name)
-        if lifecycle == "terminated":
+        if lifecycle == "terminated" and stop:
             self.servers[name].stop()
 
     def entry(self, name: str) -> dict[str, Any]:
@@ -200,13 +203,15 @@
 
     def told_at(self, name: str) -> float | None:
         """Return when the planner counts as told that a server drains or is gone; None while it serves."""
-        latest = self.latest_told.get(name)
-        return latest if latest is None else min(latest, self.told.get(name, latest))
-
-    def written(self, service: Discovery, entries: list[dict[str, Any]]) -> None:
-        """Note that a service has written entries to the planner."""
-        for entry in entries:
-            name, lifecycle = entry["instanceId"], entry["lifecycle"]
+        times = [known[name] for known in (self.told, self.latest_told) if name in known]
+        return min(times, default=None)
+
+    def written(self, service: Discovery, document: dict[str, Any]) -> None:
+        """Note that a service has written a list or changes; a whole list tells what it leaves out too."""
+        states = {entry["instanceId"]: entry["lifecycle"] for entry in document["instances"]}
+        if document["reset"]:
+            states |= dict.fromkeys(self.servers.keys() - states.keys(), "gone")
+        for name, lifecycle in states.items():
             if lifecycle != "in_service" and name not in self.told:
                 self.told[name] = self.record.now()
                 self.record.line(f"discovery {service.label}: told that {name} is {lifecycle}")
@@ -279,7 +284,7 @@
             body = json.dumps(document).encode()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
             await writer.drain()
-            self.platform.written(self, document["instances"])
+            self.platform.written(self, document)
         except (OSError, ValueError, IndexError):
             pass
         finally:
@@ -299,7 +304,7 @@
                 writer.write(b"%x\r\n%b\r\n" % (len(line), line))
                 await writer.drain()
                 if document is not None:
-                    self.platform.written(self, document["instances"])
+                    self.platform.written(self, document)
                     self.opened += first
                     first = False
                 document = self.document(sent) if await self.has_news(sent, writer) else None
