--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -702,6 +702,7 @@
 
     async def stop(self) -> None:
         """End everything that this object has started."""
+        ended_early = self.planner is not None and self.planner.returncode is not None
         tasks = [*self.tasks, *self.open_requests]
         for task in tasks:
             task.cancel()
@@ -715,6 +716,8 @@
             self.record.file.write((self.tmp / "planner.log").read_text(encoding="utf-8", errors="replace"))
         self.record.close()
         shutil.rmtree(self.tmp, ignore_errors=True)
+        if ended_early:
+            raise CannotRunError("the planner has ended by itself, see the record")
 
 
 def free_port() -> int:
@@ -730,9 +733,10 @@
 
 def main(play: Callable[[bool], Awaitable[list[str]]]) -> None:
     """Play a case within 115 s and print the breaks; exits with 1 if there are any, 0 if not, 2 if it couldn't run."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # the processes are ended then, too
     try:
         broken = asyncio.run(asyncio.wait_for(play(has_trouble()), 115.0))
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (Exception, KeyboardInterrupt) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
     for text in broken[:5]:
