--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -237,6 +237,7 @@
         self.address = ""
         self.listener: asyncio.Server | None = None
         self.watches: set[asyncio.StreamWriter] = set()
+        self.refusals = 0  # so many of the next calls for the whole list are answered with 503
         self.opened = 0  # watches that have brought their first object
         self.stopped: set[asyncio.StreamWriter] = set()  # watches whose heartbeats go on, but not their changes
         platform.services.append(self)
@@ -280,6 +281,12 @@
             if query.get("follow") == "1":
                 await self.watch(writer, int(query["since"]) if "since" in query else None)
                 return
+            if self.refusals:
+                self.refusals -= 1
+                self.platform.record.line(f"discovery {self.label}: 503")
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                await writer.drain()
+                return
             document = self.document(None)
             body = json.dumps(document).encode()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
