Review 2: a script that gets SIGTERM leaves no planner behind

Cause: SIGTERM was raised as an exception at any place of the event loop; two of four scripts left their planner running. Change: SIGTERM cancels the play, and the planner is ended first of all and without waiting for the loop.

--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -14,6 +14,7 @@
 import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -555,7 +556,7 @@
         self.open_requests: set[asyncio.Task[None]] = set()
         self.tmp = Path(tempfile.mkdtemp(prefix="stackwheel-review-"))
         self.planner_address = ""
-        self.planner: asyncio.subprocess.Process | None = None
+        self.planner: subprocess.Popen[bytes] | None = None
         self.first_answer: float | None = None
         self.held_off_until = 0.0  # time limits hold off until then
         self.requests = 0
@@ -630,26 +631,25 @@
         scratch.mkdir(exist_ok=True)
         environment = {**os.environ, "ROUTER_CONFIG": str(self.tmp / "config.json"), "TMPDIR": str(scratch)}
         with (self.tmp / "planner.log").open("ab") as log:
-            self.planner = await asyncio.create_subprocess_exec(
-                "/bin/sh",
-                "-c",
-                command,
-                cwd=ROOT,
-                env=environment,
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
+            self.planner = subprocess.Popen(
+                ["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log
             )
         deadline = time.monotonic() + 30.0
-        while self.planner.returncode is None and time.monotonic() < deadline:
+        while self.planner.poll() is None and time.monotonic() < deadline:
             await asyncio.sleep(0.1)
-            if self.planner.returncode is None and await self.ping():
+            if await self.ping() and self.planner.poll() is None:
                 return True
-        if self.planner.returncode is None:
-            self.planner.kill()
-            await self.planner.wait()
+        self.end_planner()
         return False
 
+    def end_planner(self) -> bool:
+        """End the planner's process at once; returns False if it has ended by itself."""
+        if self.planner is None or self.planner.poll() is not None:
+            return self.planner is None
+        self.planner.kill()
+        self.planner.wait()
+        return True
+
     async def ping(self) -> bool:
         """Return whether the planner answers PING with PONG."""
         host, _, port = self.planner_address.rpartition(":")
@@ -709,21 +709,18 @@
 
     async def stop(self) -> None:
         """End everything that this object has started."""
-        ended_early = self.planner is not None and self.planner.returncode is not None
+        was_running = self.end_planner()  # first, so that no interruption leaves it behind
         tasks = [*self.tasks, *self.open_requests]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        if self.planner is not None and self.planner.returncode is None:
-            self.planner.kill()
-            await self.planner.wait()
         self.platform.stop()
         with contextlib.suppress(OSError):
             self.record.file.write("--- log of the planner\n")
             self.record.file.write((self.tmp / "planner.log").read_text(encoding="utf-8", errors="replace"))
         self.record.close()
         shutil.rmtree(self.tmp, ignore_errors=True)
-        if ended_early:
+        if not was_running:
             raise CannotRunError("the planner has ended by itself, see the record")
 
 
@@ -738,12 +735,20 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+async def play_within(play: Callable[[bool], Awaitable[list[str]]], seconds: float) -> list[str]:
+    """Play a case within a time; SIGTERM and SIGINT end it, and with it all that it has started."""
+    loop = asyncio.get_running_loop()
+    task = asyncio.ensure_future(play(has_trouble()))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, seconds)
+
+
 def main(play: Callable[[bool], Awaitable[list[str]]]) -> None:
     """Play a case within 115 s and print the breaks; exits with 1 if there are any, 0 if not, 2 if it couldn't run."""
-    signal.signal(signal.SIGTERM, signal.default_int_handler)  # the processes are ended then, too
     try:
-        broken = asyncio.run(asyncio.wait_for(play(has_trouble()), 115.0))
-    except (Exception, KeyboardInterrupt) as error:
+        broken = asyncio.run(play_within(play, 115.0))
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
     for text in broken[:5]:
