Discovery: a watch without changes is renewed before changes count as told

No error in the log.

Cause: the renewal interval was 6 s, by when a change counts as told, times a jitter of up to 1.5, looked at only when a heartbeat came, longer in tiers of over three planners, and doubled by each renewal that brought no list. A second watch that sent heartbeats only stopped all later renewals.

Change: one timer for the client, independent of heartbeats, whose longest interval is what the 6 s leave after the timeouts of the call (1 s + 2 s); jitter only shortens it. A failed renewal is repeated with backoff, one without a list is replaced. All planners together renew one watch in 20 ms on average: up to 150 planners keep the 6 s. New log line where a renewal brings what the watch had not. A delta without entries is logged at debug level.

Why it works: a new call is answered with all changes since the known generation, and its answer is there, at the latest its timeout is over, when 6 s have passed since the last list.

Tests: the replaced test asked for an interval of at least 6 s and one call in 2 s for all planners, which contradicts the rule; it now asks that interval and timeouts fit into the 6 s up to 150 planners, and for the limit of one call in 20 ms up to 1,024. The test of the growing interval is replaced by one of the interval's bounds over 100 draws.

--- a/stackwheel/wire/discovery_client.py
+++ b/stackwheel/wire/discovery_client.py
@@ -44,7 +44,10 @@
     """Fetch the complete list once."""
 
     RENEW = auto()
-    """Open a second watch of the same address, which replaces the first watch when it has delivered a list."""
+    """Open a second watch of the same address, which replaces the first watch when it has delivered a list.
+
+    An earlier second watch of that address is cancelled, because it has not delivered a list in time either.
+    """
 
     HAND_OVER = auto()
     """Open a watch of the new address, which replaces the watch of the old address when it has delivered a list."""
@@ -80,7 +83,7 @@
             instead of posting the failure.
         poll_deadline_ms: maximum time between two fetches of the list without a watch, ms; the maximum retry delay is a
             share of it.
-        renewal_interval_ms: time without a change after which a watch is renewed, ms.
+        renewal_interval_ms: maximum time without a change after which a watch is renewed, ms.
         on_heartbeat: called for each heartbeat of a watch that has delivered a list.
     """
 
@@ -113,6 +116,7 @@
         generation: generation of the current list.
         replica_index: index of the replica that the next watch calls, modulo the number of replicas.
         backoff: delays between failed attempts.
+        renewal: timer of the next renewal; it is running while there is a watch.
         watch_task: the watch that delivered the current list, or the first watch; None while there is no watch.
         watched_address: address of `watch_task`; differs from `source` until a first watch has delivered a list.
         successor_task: a second watch that replaces `watch_task` when it has delivered a list; None if there is none.
@@ -143,6 +147,7 @@
         self.random = random or Random(0)
         max_delay_ms = timing.MAX_RETRY_DELAY_SHARE * options.poll_deadline_ms
         self.backoff = Backoff(timing.CONNECT_TIMEOUT_MS, max_delay_ms, self.random)
+        self.renewal = RenewalTimer(options.renewal_interval_ms, self.random, self._on_renewal_due)
         self.source = address
         self.replica_index = 0
         self.mailbox: asyncio.Queue[Command | ChangeAddress] = asyncio.Queue()
@@ -168,8 +173,8 @@
                 self.change_address(address)
             case Command.HAND_OVER if self.watch_task is not None and self.watched_address != self.address:
                 self.successor_task = self.successor_task or self._start_watch()
-            case Command.RENEW if self.watch_task is not None and self.successor_task is None:
-                self.successor_task = self._start_watch()
+            case Command.RENEW if self.watch_task is not None:
+                self._renew_watch()
             case Command.FETCH:
                 self._start_fetch()
             case Command.WATCH if self.successor_task is None:
@@ -184,6 +189,18 @@
         self.cancel_watches()
         self.watched_address = self.address
         self.watch_task = self._start_watch()
+        self.renewal.restart_after_call()
+
+    def _on_renewal_due(self) -> None:
+        logger.debug("discovery watch renewed: source={} reason=no change was received", self.source)
+        self.send(Command.RENEW)
+
+    def _renew_watch(self) -> None:
+        """Start a second watch; a handover that is not complete continues, because it replaces the first watch, too."""
+        if self.successor_task is None or self.watched_address == self.address:
+            self._cancel_successor()
+            self.successor_task = self._start_watch()
+        self.renewal.restart_after_call()
 
     def _start_fetch(self) -> None:
         task = asyncio.create_task(self.fetch())
@@ -212,6 +229,7 @@
 
     def cancel_watches(self) -> None:
         """Cancel the watch and its successor."""
+        self.renewal.stop()
         if self.watch_task is not None:
             self.watch_task.cancel()
         self.watch_task = None
@@ -317,8 +335,6 @@
         """Watch one replica until the watch ends, and return why it ended."""
         received_list = False
         call = watch_call(replica, self.generation if address == self.source else None)
-        renewal = RenewalTimer(self.options.renewal_interval_ms, self.random)
-        loop = asyncio.get_running_loop()
         try:
             await call.open(timing.CONNECT_TIMEOUT_MS, timing.RESPONSE_TIMEOUT_MS)
             events = self._events(call, address)
@@ -326,14 +342,10 @@
                 event = await anext(events)
                 if isinstance(event, EndpointList):
                     self.accept(event, address)
+                    self.renewal.restart()
                     received_list = True
-                    renewal.restart(loop.time())
-                    continue
-                if received_list:
+                elif received_list:
                     self.options.on_heartbeat()
-                if renewal.is_due(loop.time()):
-                    renewal.back_off(loop.time())
-                    self.send(Command.RENEW)
         except Exception as error:
             return WatchEnd(as_call_error(error, address), received_list)
         finally:
@@ -353,6 +365,7 @@
         else:
             return  # another watch has replaced this one
         if self.watch_task is None and self.successor_task is None:
+            self.renewal.stop()
             self.report_failure(error, address)
             return
         logger.info(
@@ -361,8 +374,9 @@
             error.stage,
             error.reason,
         )
-        if self.successor_task is None and self.watched_address != self.address:
-            self._send_after_backoff(Command.HAND_OVER)
+        if self.successor_task is None:
+            is_renewal = self.watched_address == self.address
+            self._send_after_backoff(Command.RENEW if is_renewal else Command.HAND_OVER)
 
     # --- Results of calls ---
 
@@ -376,22 +390,27 @@
             logger.info("discovery source replaced: source={} address={}", self.source, address)
             self.source = address
             endpoints = replace(endpoints, generations_restarted=True)
+        elif self.successor_task is asyncio.current_task() and endpoints.instances:
+            logger.info(
+                "discovery watch was behind: source={} generation={} count={} reason=its renewal delivered changes",
+                address,
+                endpoints.generation,
+                len(endpoints.instances),
+            )
         if self.successor_task is asyncio.current_task():
-            if self.watch_task is not None:
-                self.watch_task.cancel()
-            self.watch_task = self.successor_task
-            self.watched_address = address
-            self.successor_task = None
+            self._promote_successor(address)
         self.generation = endpoints.generation if endpoints.complete else max(self.generation, endpoints.generation)
-        logger.info(
-            "endpoint list received: source={} generation={} kind={} count={}",
-            address,
-            endpoints.generation,
-            "full" if endpoints.complete else "delta",
-            len(endpoints.instances),
-        )
+        log_received(endpoints, address)
         self.post(endpoints)
 
+    def _promote_successor(self, address: str) -> None:
+        """Replace the watch by its successor, which has delivered a list from an address."""
+        if self.watch_task is not None:
+            self.watch_task.cancel()
+        self.watch_task = self.successor_task
+        self.watched_address = address
+        self.successor_task = None
+
     def report_failure(self, error: CallError, address: str) -> None:
         """Log a failed call, and post the failure; a client that always watches schedules a new watch instead."""
         logger.warning("discovery call failed: source={} stage={} reason={}", address, error.stage, error.reason)
@@ -405,6 +424,20 @@
         asyncio.get_running_loop().call_later(delay_ms / 1000.0, self.mailbox.put_nowait, command)
 
 
+def log_received(endpoints: EndpointList, address: str) -> None:
+    """Log an endpoint list with the number of its entries; a delta without entries is usual for a renewal."""
+    if not endpoints.complete and not endpoints.instances:
+        logger.debug("endpoint list confirmed: source={} generation={}", address, endpoints.generation)
+        return
+    logger.info(
+        "endpoint list received: source={} generation={} kind={} count={}",
+        address,
+        endpoints.generation,
+        "full" if endpoints.complete else "delta",
+        len(endpoints.instances),
+    )
+
+
 def as_call_error(error: Exception, address: str) -> CallError:
     """Convert an error to a CallError; unexpected errors are logged with their traceback."""
     if isinstance(error, CallError):
--- a/stackwheel/wire/timing.py
+++ b/stackwheel/wire/timing.py
@@ -21,6 +21,10 @@
 # Maximum time to establish a TCP connection. A host without network connectivity does not refuse connections.
 CONNECT_TIMEOUT_MS = 0.5 * HEARTBEAT_INTERVAL_MS
 
+# Minimum mean time between two renewals of watches by all planners of a tier together, because the discovery service
+# answers the calls of all planners one after another.
+RENEWAL_SPACING_MS = 20.0
+
 # Additional time after an expired timeout to read data that is already in the socket's buffer, because this process
 # itself may have been suspended.
 STALL_GRACE_MS = 50.0
@@ -116,12 +120,14 @@
 
 
 def watch_renewal_interval(planners: int) -> float:
-    """Return the time without a change after which a watch is renewed, in ms.
+    """Return the maximum time without a change after which a watch is renewed, in ms.
 
-    A faulty watch may continue to send heartbeats without any updates. The interval is at least LINE_TIMEOUT_MS, and
-    all planners together renew at most one watch per HEARTBEAT_INTERVAL_MS.
+    A faulty watch may continue to send heartbeats without any updates. The call that replaces it has to be answered
+    before the discovery protocol assumes that an endpoint list has been delivered (LINE_TIMEOUT_MS), even if the call
+    takes as long as its timeouts allow. In a large tier the interval is longer, because all planners together renew at
+    most one watch per RENEWAL_SPACING_MS.
     """
-    return max(LINE_TIMEOUT_MS, planners * HEARTBEAT_INTERVAL_MS)
+    return max(LINE_TIMEOUT_MS - CONNECT_TIMEOUT_MS - RESPONSE_TIMEOUT_MS, planners * RENEWAL_SPACING_MS)
 
 
 def stream_silence_timeout(report_interval: float, queue_drain_time: float, transit_time: float) -> float:
--- a/tests/wire/test_discovery_calls.py
+++ b/tests/wire/test_discovery_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -84,14 +86,47 @@
     assert watch_call("h:1", 0).target == f"{INSTANCES_PATH}?follow=1&since=0"
 
 
-def test_renewal_interval_grows_until_a_list_is_received() -> None:
-    timer = RenewalTimer(1000.0, Random(1))
-    assert not timer.is_due(1e9)  # never due before the first list
-    timer.restart(0.0)
-    assert not timer.is_due(0.49)
-    assert timer.is_due(1.51)
-    timer.back_off(0.0)
-    assert not timer.is_due(0.99)
-    assert timer.is_due(3.01)
-    timer.restart(0.0)
-    assert timer.is_due(1.51)
+class ScheduledRenewals:
+    """The delays, in s, after which a renewal timer was to become due, and the handles of these timers."""
+
+    def __init__(self, interval_ms: float) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.timer = RenewalTimer(interval_ms, Random(1), lambda: None)
+        self.delays: list[float] = []
+        self.handles: list[asyncio.TimerHandle] = []
+
+    def call_later(self, delay: float, callback: Callable[[], None]) -> asyncio.TimerHandle:
+        """Record a delay instead of waiting for it."""
+        self.delays.append(delay)
+        self.handles.append(self.loop.call_at(delay, callback))
+        return self.handles[-1]
+
+    def run(self, action: Callable[[RenewalTimer], None]) -> None:
+        """Run an action of the timer within the event loop."""
+
+        async def scenario() -> None:
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(self.loop, "call_later", self.call_later)
+                action(self.timer)
+
+        self.loop.run_until_complete(scenario())
+
+
+def test_renewal_is_due_within_the_interval_whatever_the_jitter() -> None:
+    """Guards against a renewal that jitter or an earlier failure delays beyond the time in which drains are told."""
+    renewals = ScheduledRenewals(1000.0)
+    for _ in range(100):
+        renewals.run(RenewalTimer.restart)
+    renewals.loop.close()
+    assert all(0.5 <= delay <= 1.0 for delay in renewals.delays)
+    assert max(renewals.delays) - min(renewals.delays) > 0.4
+
+
+def test_renewal_timer_has_one_pending_timer_and_none_after_it_was_stopped() -> None:
+    renewals = ScheduledRenewals(1000.0)
+    renewals.run(RenewalTimer.restart)
+    renewals.run(RenewalTimer.restart_after_call)
+    assert [handle.cancelled() for handle in renewals.handles] == [True, False]
+    renewals.run(RenewalTimer.stop)
+    renewals.loop.close()
+    assert [handle.cancelled() for handle in renewals.handles] == [True, True]
--- a/tests/wire/test_discovery_client.py
+++ b/tests/wire/test_discovery_client.py
@@ -149,13 +149,13 @@
     run_async(scenario)
 
 
-def test_watch_without_changes_is_renewed() -> None:
+def test_watch_without_changes_is_renewed(monkeypatch: pytest.MonkeyPatch) -> None:
     """A faulty watch may send heartbeats without updates; a second watch must deliver the missing changes."""
+    monkeypatch.setattr(timing, "CONNECT_TIMEOUT_MS", 50.0)  # also the delay of the first retry
 
     async def scenario() -> None:
         discovery = await ScriptedDiscovery().start()
         harness, watch = await start_watching(discovery, 8, "a", renewal_interval_ms=1.0)
-        await asyncio.sleep(0.002)
         watch.send_heartbeat()
         rejected = await discovery.calls.get()
         assert rejected.is_watch
@@ -164,10 +164,6 @@
         await rejected.ended.wait()
         assert not watch.ended.is_set()  # a failed renewal does not end the first watch
         assert harness.posted.empty()
-        watch.send_heartbeat()
-        while discovery.calls.empty():
-            await asyncio.sleep(0.002)
-            watch.send_heartbeat()
         successor = await discovery.calls.get()
         successor.send_list(9, False, "b")
         assert await harness.next_list() == (9, False, {"b"})
@@ -177,11 +173,50 @@
     run_async(scenario)
 
 
+def test_silent_watch_is_renewed_without_waiting_for_a_heartbeat() -> None:
+    """Guards against a renewal that is late by a heartbeat, so that drains are told to proxies after the grace."""
+
+    async def scenario() -> None:
+        discovery = await ScriptedDiscovery().start()
+        harness, watch = await start_watching(discovery, 8, "a", renewal_interval_ms=1.0)
+        successor = await discovery.calls.get()  # the first watch has sent nothing after its list
+        successor.send_list(9, False, "b")
+        assert await harness.next_list() == (9, False, {"b"})
+        await watch.ended.wait()
+
+    run_async(scenario)
+
+
+def test_renewal_that_delivers_nothing_is_renewed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a second watch that sends only heartbeats and prevents all later renewals of the first one."""
+    monkeypatch.setattr(timing, "CONNECT_TIMEOUT_MS", 50.0)
+    monkeypatch.setattr(timing, "RESPONSE_TIMEOUT_MS", 50.0)
+
+    async def scenario() -> None:
+        discovery = await ScriptedDiscovery().start()
+        harness, watch = await start_watching(discovery, 8, "a", renewal_interval_ms=1.0)
+        silent = await discovery.calls.get()
+        silent.send_heartbeat()
+        successor = await discovery.calls.get()
+        await silent.ended.wait()
+        successor.send_list(9, False, "b")
+        assert await harness.next_list() == (9, False, {"b"})
+        await watch.ended.wait()
+
+    run_async(scenario)
+
+
+def test_renewal_is_answered_before_changes_count_as_told() -> None:
+    """Guards against drains that a planner forwards after the grace, because its watch brings no more changes."""
+    for planners in (1, 2, 5, 60, 150):
+        longest = timing.watch_renewal_interval(planners) + timing.CONNECT_TIMEOUT_MS + timing.RESPONSE_TIMEOUT_MS
+        assert longest <= timing.LINE_TIMEOUT_MS
+
+
 def test_total_renewal_rate_of_all_planners_is_limited() -> None:
-    for planners in (1, 5, 230, 1024):
+    for planners in (1, 5, 150, 230, 1024):
         calls_per_second = planners * 1000.0 / timing.watch_renewal_interval(planners)
-        assert calls_per_second <= 1000.0 / timing.HEARTBEAT_INTERVAL_MS
-    assert timing.watch_renewal_interval(1) >= timing.LINE_TIMEOUT_MS
+        assert calls_per_second <= 1000.0 / timing.RENEWAL_SPACING_MS
 
 
 def test_client_that_always_watches_retries_with_backoff(monkeypatch: pytest.MonkeyPatch) -> None:
