Connections: lines are handled in turns, so that a flood on one delays no other

Seen by callers: while one client sent small or malformed lines at full speed on one connection, PING on another was answered after 0.71 s and a joining proxy had its table after 2.33 s (medians over 5 s, `LOAD` without fields; 0.43 and 1.06 s for another proxy's RATE, 0.16 and 0.43 s for unknown ACKs, 0.07 and 0.23 s for ever new names; without a flood 0.001 and 0.005 s). Datagrams did not show it. Memory did not grow.

Cause: a connection handled all lines of a read, up to 64 KiB, within one iteration of the event loop.

Change: 32 lines in a turn; further turns in order of request, one in each iteration of the event loop.

Why it works: between two turns the loop reads, answers and batches for everybody else, and flooding connections share the turns in order.

The six cases of the new test fail before (4,091 to 46,409 lines between PING and PONG, 256 allowed).

--- a/stackwheel/wire/connection.py
+++ b/stackwheel/wire/connection.py
@@ -37,6 +37,7 @@
     ProtocolViolationError,
     order_columns,
 )
+from stackwheel.wire.read_turns import MAX_LINES_PER_TURN, ReadTurns
 
 
 class ConnectionContext(NamedTuple):
@@ -51,6 +52,7 @@
         limiter: returns the rate limiter of a proxy, which is shared by its successive connections.
         buffer_budget: limit on the bytes that all connections buffer.
         is_listed: returns whether any endpoint list so far contained a server.
+        turns: turns in which connections process received data.
     """
 
     names: ConfiguredNames
@@ -60,6 +62,7 @@
     limiter: Callable[[int], RateLimiter]
     buffer_budget: BufferBudget
     is_listed: Callable[[interface.ServerId], bool]
+    turns: ReadTurns
 
 
 class Connection:
@@ -137,7 +140,7 @@
         while data := await self.reader.read(timing.READ_BYTES):
             self.last_received_at = asyncio.get_running_loop().time()
             try:
-                self.handle_data(data)
+                await self.handle_data(data)
             except ProtocolViolationError as error:
                 self.close(str(error))
                 return
@@ -153,19 +156,27 @@
                 partial_line_bytes,
             )
 
-    def handle_data(self, data: bytes) -> None:
-        """Add received data to the incomplete line, and handle the lines that are complete then.
+    async def handle_data(self, data: bytes) -> None:
+        """Add received data to the incomplete line, and handle the lines that are complete then, in several turns.
 
         Raises:
             ProtocolViolationError: a line is not a message of the protocol, or the incomplete line is not the beginning
                 of one.
         """
-        for line in self.splitter.feed(data):
+        for index, line in enumerate(self.splitter.feed(data), 1):
             self.messages_received += 1
             try:
                 self.handle_line(line)
             except ProtocolViolationError as error:
                 raise ProtocolViolationError(f"in message {self.messages_received}", str(error)) from error
+            if index % MAX_LINES_PER_TURN == 0:
+                await self.context.turns.wait()
+            if self.is_closing:
+                return
+        self.check_incomplete_line()
+
+    def check_incomplete_line(self) -> None:
+        """Check the incomplete line; raises ProtocolViolationError if it is not the beginning of a message."""
         location = f"after message {self.messages_received}"
         if self.splitter.is_oversized:
             raise ProtocolViolationError(location, f"line longer than {self.splitter.max_line_bytes} bytes")
--- a/stackwheel/wire/transport.py
+++ b/stackwheel/wire/transport.py
@@ -26,6 +26,7 @@
 from stackwheel.wire.health_check_runner import HealthCheckRunner
 from stackwheel.wire.http import socket_closed, split_address
 from stackwheel.wire.line_codec import Encoder
+from stackwheel.wire.read_turns import ReadTurns
 from stackwheel.wire.task_supervisor import TaskSupervisor
 
 
@@ -104,6 +105,7 @@
             limiter=self.limiter,
             buffer_budget=self.buffer_budget,
             is_listed=self.is_listed,
+            turns=ReadTurns(),
         )
 
     def _post_item(self, item: PlannerMessage) -> None:
--- a/tests/wire/test_connection_races.py
+++ b/tests/wire/test_connection_races.py
@@ -21,6 +21,7 @@
 from stackwheel.state.table_updates import ProxyUpdate, UpdatePart
 from stackwheel.wire.connection import Connection
 from stackwheel.wire.connection_limits import RateLimiter
+from stackwheel.wire.read_turns import MAX_LINES_PER_TURN
 
 JOIN = b"SUBSCRIBE id=1 site=east rps=1 new=1\r\n"
 
@@ -212,6 +213,46 @@
     run_async(scenario())
 
 
+MAX_TURNS_BEFORE_PONG = 8
+"""Turns of another connection between the arrival of PING and the arrival of PONG at the client, which takes a few
+iterations of the event loop."""
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"PING\r\n",
+        b"RATE id=1 lane=read count=1 fail=0 over=1000.0\r\n",
+        b"RATE id=7\r\n",
+        b"ACK id=1 seq=7 ms=3\r\n",
+        b"LOAD site=east target=unknown count=1\r\n",
+        JOIN,
+    ],
+)
+def test_small_messages_on_one_connection_do_not_delay_another(line: bytes) -> None:
+    """Guards against a client whose small or malformed messages delay the answers to all other clients."""
+
+    async def scenario() -> None:
+        harness = TransportHarness()
+        await harness.open()
+        flooding, connection = await join(harness)
+        pinging = harness.connect(b"SOURCE site=east\r\n")
+        await wait_until(lambda: bool(harness.table.collectors.get(0)))
+        flooding.setblocking(False)
+        pinging.setblocking(False)
+        flood = asyncio.create_task(asyncio.get_running_loop().sock_sendall(flooding, line * 200_000))
+        await wait_until(lambda: connection.messages_received > 1)
+        before = connection.messages_received
+        pinging.send(b"PING\r\n")
+        assert await asyncio.get_running_loop().sock_recv(pinging, 10) == b"PONG\r\n"
+        assert connection.messages_received - before <= MAX_TURNS_BEFORE_PONG * MAX_LINES_PER_TURN
+        flood.cancel()
+        for client in (flooding, pinging):
+            client.close()
+
+    run_async(scenario())
+
+
 def test_message_truncated_by_a_close_has_no_nonce() -> None:
     """A proxy must not apply a partially written message, and its next stream must begin with a complete message."""
 
