Line codec: a message of very many short fields is rejected before it is split

Seen by callers: clients that joined and sent lines of close to 1 MiB made of short fields brought the planner past its memory limit (880 clients: 27 to 170 MB where 64 are allowed; 8 collectors with load columns of 3 bytes: 81 MB).

Cause: a line was split into all its words, each an object and an entry of a dict, before anything was checked. The peak while one line is decoded was 16 to 42 times its size.

Change: up to 64 words and 64 load columns; the split ends there, and the message is skipped as malformed. The reports of health checks are read by the same function.

Test: three cases, which fail before (16, 23 and 42 times, 8 are allowed).

--- a/stackwheel/wire/line_codec.py
+++ b/stackwheel/wire/line_codec.py
@@ -35,6 +35,8 @@
 
 MAX_UNIDENTIFIED_BYTES: Final = 4096  # data that a connection may send before it identifies itself
 MAX_MESSAGE_BYTES: Final = 1 << 20  # size of one message from an identified connection
+MAX_WORDS: Final = 64  # words of one message, its kind included; the longest message of the protocol has 8
+MAX_LOAD_COLUMNS: Final = 64  # load columns of one report
 MAX_COUNT: Final = (1 << 32) - 1  # maximum of request counts and of values of load columns
 MAX_DURATION_MS: Final = 86_400_000.0  # one day
 SIGNIFICANT_DIGITS: Final = 6  # precision of encoded weights and admission levels
@@ -159,7 +161,10 @@
         text: comma-separated columns, each with its name, the separator and its value.
         separator: text between the name and the value of a column.
     """
-    pairs = [pair.partition(separator) for pair in text.split(",") if pair]
+    columns = text.split(",", MAX_LOAD_COLUMNS)
+    if len(columns) > MAX_LOAD_COLUMNS:
+        raise FieldError("util", f"more than {MAX_LOAD_COLUMNS} load columns")
+    pairs = [pair.partition(separator) for pair in columns if pair]
     return tuple((LOAD_COLUMN_ALIASES.get(column, column), parse_number(column, value)) for column, _, value in pairs)
 
 
@@ -236,15 +241,17 @@
     """Decode one line without its line end.
 
     Raises:
-        MalformedMessageError: the kind is known, but a field is missing or invalid.
+        MalformedMessageError: the kind is known, but there are too many words, or a field is missing or invalid.
         ProtocolViolationError: the line is not a message of the protocol.
     """
     try:
-        kind, *pairs = line.decode("utf-8").split(" ")
+        kind, *pairs = line.decode("utf-8").split(" ", MAX_WORDS)
     except UnicodeDecodeError as error:
         raise ProtocolViolationError("", f"not UTF-8 at byte {error.start}") from error
     if kind not in PARSERS:
         raise ProtocolViolationError("", f"unknown message kind: {quote(kind)}")
+    if len(pairs) >= MAX_WORDS:
+        raise MalformedMessageError(kind, f"more than {MAX_WORDS} words")
     fields = MessageFields(kind, [pair for pair in pairs if pair], names)
     try:
         return PARSERS[kind](fields)
--- a/tests/wire/test_line_codec.py
+++ b/tests/wire/test_line_codec.py
@@ -1,6 +1,7 @@
 """The line codec: decoding of valid and invalid lines, and encoding of updates."""
 
 import math
+import tracemalloc
 
 import pytest
 from hypothesis import given
@@ -301,3 +302,24 @@
     assert math.isnan(incomplete[0])
     assert incomplete[1] == 0.5
     assert order_columns((), NAMES.columns) == ()
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"LOAD site=a " + b" ".join(b"%x=" % number for number in range(150_000)),
+        b"LOAD site=a target=s count=1 fail=0 mean=1 over=1 util=" + b",".join([b"a:1"] * 250_000),
+        b"RATE" + b" " * 1_000_000,
+    ],
+    ids=["fields", "load columns", "spaces"],
+)
+def test_message_of_very_many_short_parts_needs_little_memory(line: bytes) -> None:
+    """Guards against a planner that exceeds its memory limit while it decodes messages of very many short fields."""
+    tracemalloc.start()
+    try:
+        with pytest.raises(MalformedMessageError, match="more than 64"):
+            decode(line, NAMES)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 8 * len(line)
