Connections: an incomplete line is searched for control characters once, not with each piece

Cause: with each piece the whole incomplete line was searched again, up to 1 MiB for 4 KiB of new data.

Change: the search begins where the last one ended, less one byte, which may have been the first of a line end.

Control characters are found in any piece as before.

--- a/stackwheel/wire/connection.py
+++ b/stackwheel/wire/connection.py
@@ -173,16 +173,20 @@
                 await self.context.turns.wait()
             if self.is_closing:
                 return
-        self.check_incomplete_line()
+        self.check_incomplete_line(max(0, len(self.splitter.pending) - len(data)))
 
-    def check_incomplete_line(self) -> None:
-        """Check the incomplete line; raises ProtocolViolationError if it is not the beginning of a message."""
+    def check_incomplete_line(self, checked_bytes: int) -> None:
+        """Check the incomplete line after its beginning, of `checked_bytes`, which was checked when it was received.
+
+        Raises:
+            ProtocolViolationError: it is not the beginning of a message.
+        """
         location = f"after message {self.messages_received}"
         if self.splitter.is_oversized:
             raise ProtocolViolationError(location, f"line longer than {self.splitter.max_line_bytes} bytes")
         if self.splitter.pending:
             try:
-                check_partial_line(self.splitter.pending)
+                check_partial_line(self.splitter.pending, checked_bytes)
             except ProtocolViolationError as error:
                 raise ProtocolViolationError(location, str(error)) from error
 
--- a/stackwheel/wire/line_codec.py
+++ b/stackwheel/wire/line_codec.py
@@ -259,9 +259,13 @@
         raise MalformedMessageError(f"{kind} {error.location}", error.problem) from error
 
 
-def check_partial_line(pending: bytes | bytearray) -> None:
+def check_partial_line(pending: bytes | bytearray, checked_bytes: int = 0) -> None:
     """Check the beginning of a line, so that invalid data is rejected even if its line end is never received.
 
+    Args:
+        pending: the incomplete line.
+        checked_bytes: size of its beginning that has been checked for control characters before.
+
     Raises:
         ProtocolViolationError: no message of the protocol begins with `pending`.
     """
@@ -271,7 +275,8 @@
         raise ProtocolViolationError(
             "", f"unknown message kind: {quote(kind[:MAX_QUOTED_CHARACTERS].decode(errors='replace'))}"
         )
-    if control := CONTROL_CHARACTER.search(pending, 0, len(pending) - pending.endswith(b"\r")):
+    first_unchecked = max(0, checked_bytes - 1)  # the last byte may have been the first one of a line end
+    if control := CONTROL_CHARACTER.search(pending, first_unchecked, len(pending) - pending.endswith(b"\r")):
         raise ProtocolViolationError("", f"control character at byte {control.start()}")
 
 
--- a/tests/wire/test_transport.py
+++ b/tests/wire/test_transport.py
@@ -14,6 +14,7 @@
 from stackwheel.state.server_ids import server_id
 from stackwheel.state.streams import ProxyStream
 from stackwheel.state.table_updates import ProxyUpdate
+from stackwheel.wire.messages import ProtocolViolationError
 
 
 def test_proxies_that_connect_together_join_in_one_batch() -> None:
@@ -312,3 +313,53 @@
         )
 
     run_async(scenario())
+
+
+class ScanCounter:
+    """Stands in for the pattern of control characters, and counts the bytes that are searched."""
+
+    def __init__(self) -> None:
+        self.scanned_bytes = 0
+
+    def search(self, _data: bytearray, start: int, end: int) -> None:
+        self.scanned_bytes += end - start
+
+
+def test_long_line_in_small_pieces_is_scanned_once(monkeypatch: Any) -> None:
+    """Guards against a client that delays all others by a long line in pieces, each of which has the line scanned again."""
+    counter = ScanCounter()
+    monkeypatch.setattr("stackwheel.wire.line_codec.CONTROL_CHARACTER", counter)
+    pieces = 500
+    piece = b"x" * 100
+
+    async def scenario() -> None:
+        harness = TransportHarness()
+        await harness.open()
+        client = harness.connect(b"SOURCE site=east\r\n")
+        await wait_until(lambda: bool(harness.table.collectors.get(0)))
+        (connection,) = harness.table.collectors[0]
+        await connection.handle_data(b"LOAD ")
+        for _ in range(pieces):
+            await connection.handle_data(piece)
+        client.close()
+
+    run_async(scenario())
+    assert pieces * len(piece) <= counter.scanned_bytes <= 2 * pieces * len(piece)
+
+
+@pytest.mark.parametrize("pieces", [(b"x" * 100 + b"\x01",), (b"x" * 100 + b"\r", b"yy"), (b"x" * 100, b"\x01y")])
+def test_control_character_in_any_piece_of_a_line_is_rejected(pieces: tuple[bytes, ...]) -> None:
+    async def scenario() -> None:
+        harness = TransportHarness()
+        await harness.open()
+        client = harness.connect(b"SOURCE site=east\r\n")
+        await wait_until(lambda: bool(harness.table.collectors.get(0)))
+        (connection,) = harness.table.collectors[0]
+        await connection.handle_data(b"LOAD site=")
+        for piece in pieces[:-1]:
+            await connection.handle_data(piece)
+        with pytest.raises(ProtocolViolationError, match="control character at byte 110"):
+            await connection.handle_data(pieces[-1])
+        client.close()
+
+    run_async(scenario())
