Memory limit: reads are small, unsent data counts in full, and the budget leaves room for the rest

Seen by callers: with all descriptors in use by clients that had joined and sent lines slowly, stopped half way or did not read, the planner passed its memory limit (880 clients, own loads: 99 to 102 MB by partial lines and 239 MB by unread tables under a limit of 64 MB; 221 MB by lines of short fields under 192 MB).

Cause: the budget for buffers was a quarter of the limit, whatever else the process needs, and left out up to 128 KiB that asyncio had read and 64 KiB that it had not written for each connection, and the overhead of queued messages.

Evidence: the budget closed connections, so it was reached; what the process held beyond it grew with the number of connections, not with the limit.

Change: receive buffers of 8 KiB and reads of 4 KiB for accepted connections; a message is unsent until the kernel has it, and counts 48 bytes more; the budget is a third of what the limit leaves beside 32 MB and 28 KiB for each open connection, at least 1 MiB.

--- a/stackwheel/trials/planners.py
+++ b/stackwheel/trials/planners.py
@@ -204,7 +204,7 @@
         connections = table.connections
         yield BoundedCount("streams", len(planner.streams.by_proxy) + len(planner.streams.timed_out), shape.proxies)
         yield BoundedCount("rate limiters", len(transport.limiters), shape.proxies)
-        yield BoundedCount("buffered bytes", budget.total_bytes, budget.max_bytes)
+        yield BoundedCount("buffered bytes", budget.total_bytes, budget.limit_bytes())
         yield BoundedCount(
             "difference of buffered bytes from their sum over connections",
             abs(budget.total_bytes - sum(budget.bytes_by_connection.values())),
--- a/stackwheel/wire/connection.py
+++ b/stackwheel/wire/connection.py
@@ -97,6 +97,7 @@
         self.is_closing = False
         self.is_superseded = False
         self.mailbox: asyncio.Queue[bytes] = asyncio.Queue()
+        writer.transport.set_write_buffer_limits(high=0)  # a message counts as unsent until the kernel has accepted it
         host, port = (writer.get_extra_info("peername") or ("?", 0))[:2]
         self.address = f"{host}:{port}"
 
@@ -137,7 +138,7 @@
 
         An incomplete line at the end is logged with its size and the number of complete lines before it.
         """
-        while data := await self.reader.read(timing.READ_BYTES):
+        while data := await self.reader.read(timing.ACCEPTED_READ_BYTES):
             self.last_received_at = asyncio.get_running_loop().time()
             try:
                 await self.handle_data(data)
@@ -331,7 +332,8 @@
     def account_buffers(self) -> None:
         """Report the number of bytes that this connection buffers to the budget that all connections share."""
         if not self.is_closing:
-            self.context.buffer_budget.account(self, len(self.splitter.pending) + self.unsent_bytes)
+            queued_bytes = self.unsent_bytes + self.mailbox.qsize() * timing.MESSAGE_OVERHEAD_BYTES
+            self.context.buffer_budget.account(self, len(self.splitter.pending) + queued_bytes)
 
     def close(self, reason: str) -> None:
         """Abort the connection and drop unsent messages; sends NACK first if the connection is unidentified."""
--- a/stackwheel/wire/connection_limits.py
+++ b/stackwheel/wire/connection_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Protocol
 
 
@@ -37,11 +38,16 @@
     """Limit on the total bytes that connections buffer: partial lines received and messages not yet written.
 
     While the total exceeds the limit, the connection that buffers the most bytes is closed.
+
+    Attributes:
+        limit_bytes: returns the limit, which depends on the number of connections.
+        total_bytes: total number of buffered bytes.
+        bytes_by_connection: number of buffered bytes of each connection that buffers any.
     """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(self, limit_bytes: Callable[[], int]) -> None:
         """Create a budget without any buffered bytes."""
-        self.max_bytes = max_bytes
+        self.limit_bytes = limit_bytes
         self.total_bytes = 0
         self.bytes_by_connection: dict[BufferOwner, int] = {}
 
@@ -50,7 +56,7 @@
         self.total_bytes += byte_count - self.bytes_by_connection.pop(connection, 0)
         if byte_count:
             self.bytes_by_connection[connection] = byte_count
-        while self.total_bytes > self.max_bytes:
+        while self.bytes_by_connection and self.total_bytes > (limit := self.limit_bytes()):
             largest = max(self.bytes_by_connection, key=self.bytes_by_connection.__getitem__)
             self.total_bytes -= self.bytes_by_connection.pop(largest)
-            largest.close(f"largest buffer while all connections together exceed {self.max_bytes} buffered bytes")
+            largest.close(f"largest buffer while all connections together exceed {limit} buffered bytes")
--- a/stackwheel/wire/timing.py
+++ b/stackwheel/wire/timing.py
@@ -65,11 +65,15 @@
 # planner does not read is half of this size.
 MAX_UNSENT_BYTES = 256 * 1024
 
-# Maximum size of one read from a connection.
+# Maximum size of one read of the response to a call.
 READ_BYTES = 64 * 1024
 
-# Size of the kernel's receive buffer of a connection, which limits the unread data of a client that sends too much.
-RECEIVE_BUFFER_BYTES = 32 * 1024
+# Maximum size of one read from an accepted connection. asyncio buffers up to twice this size, and one more read.
+ACCEPTED_READ_BYTES = 4 * 1024
+
+# Size of the kernel's receive buffer of an accepted connection, which limits the unread data of a client that sends too
+# much, and the data that asyncio reads at once. Linux doubles it.
+RECEIVE_BUFFER_BYTES = 8 * 1024
 
 # Maximum number of collectors per zone. A new collector may connect before the end of the previous connection is
 # detected.
@@ -110,8 +114,21 @@
 
 # --- Memory ---
 
-# The memory limit divided by this is the maximum total size of buffered messages.
-BUFFER_MEMORY_DIVISOR = 4
+# Memory of a planner of a small fleet without connections.
+BASE_MEMORY_BYTES = 32 << 20
+
+# Memory of an accepted connection: its objects, and what asyncio has read but the connection has not processed.
+CONNECTION_MEMORY_BYTES = 28 << 10
+
+# The memory that is left for buffers, divided by this, is the maximum total size of buffered data. The rest is for
+# copies, the allocator's fragmentation and the messages that the data is decoded to.
+BUFFER_MEMORY_DIVISOR = 3
+
+# Maximum total size of buffered data under a memory limit that leaves less than that.
+MIN_BUFFER_LIMIT_BYTES = 1 << 20
+
+# Memory of a queued message in addition to its content.
+MESSAGE_OVERHEAD_BYTES = 48
 
 
 def accept_reserve(capacity: int) -> int:
@@ -141,6 +158,12 @@
     return MAX_SILENT_REPORT_INTERVALS * report_interval + queue_drain_time + 2 * transit_time
 
 
-def buffer_limit_bytes(memory_mb: float) -> int:
-    """Return the maximum total size of the partial lines and outgoing mailboxes of all connections, in bytes."""
-    return int(memory_mb * (1 << 20)) // BUFFER_MEMORY_DIVISOR
+def buffer_limit_bytes(memory_mb: float, connections: int) -> int:
+    """Return the maximum total size of the partial lines and outgoing mailboxes of all connections, in bytes.
+
+    Args:
+        memory_mb: maximum memory of the process, in MB.
+        connections: number of accepted connections.
+    """
+    available = int(memory_mb * (1 << 20)) - BASE_MEMORY_BYTES - connections * CONNECTION_MEMORY_BYTES
+    return max(MIN_BUFFER_LIMIT_BYTES, available // BUFFER_MEMORY_DIVISOR)
--- a/stackwheel/wire/transport.py
+++ b/stackwheel/wire/transport.py
@@ -96,7 +96,7 @@
         self.connection_table = ConnectionTable(addresses.sockets)
         self.health_checks = HealthCheckRunner(names, clock, self.connection_table, self.supervisor, self._post_item)
         self.limiters: dict[int, RateLimiter] = {}
-        self.buffer_budget = BufferBudget(timing.buffer_limit_bytes(addresses.memory_mb))
+        self.buffer_budget = BufferBudget(self.buffer_limit_bytes)
         self.connection_context = ConnectionContext(
             names=names,
             proxy_count=settings.proxy_count,
@@ -150,7 +150,6 @@
         """Apply the addresses and limits of a reloaded configuration; open connections are not closed."""
         self.addresses = addresses
         self.connection_table.max_descriptors = addresses.sockets
-        self.buffer_budget.max_bytes = timing.buffer_limit_bytes(addresses.memory_mb)
         self.datagrams.update_peers(addresses.peers, addresses.peers_all)
         self.discovery.send(ChangeAddress(addresses.discovery))
 
@@ -178,7 +177,7 @@
     async def serve_connection(self, accepted: socket.socket) -> None:
         """Set up and run an accepted connection until its socket is closed."""
         try:
-            reader, writer = await asyncio.open_connection(sock=accepted, limit=timing.READ_BYTES)
+            reader, writer = await asyncio.open_connection(sock=accepted, limit=timing.ACCEPTED_READ_BYTES)
         except OSError as error:
             logger.info("connection lost before it was set up: reason={}", error)
             accepted.close()
@@ -197,6 +196,10 @@
         await socket_closed(writer)
         self.connection_table.remove(connection)
 
+    def buffer_limit_bytes(self) -> int:
+        """Return the limit on buffered data under the current memory limit and with the current connections."""
+        return timing.buffer_limit_bytes(self.addresses.memory_mb, len(self.connection_table.connections))
+
     def is_listed(self, server: ServerId) -> bool:
         """Return whether any endpoint list so far contained the server."""
         return self.endpoints.server_ids.name(server) is not None
