Relay: little is read of a large request, and a head has up to 64 lines

Seen by callers: 1,200 clients that sent large bodies and stopped half way brought a relay from 33 to 261 MB; as many that sent heads of 2,000 short header fields made other callers wait for up to 3.4 s for a list (0.004 s else).

Cause: the head was limited to 8 KiB, but not what asyncio read ahead from a receive buffer of the default size, up to 256 KiB for each connection; each header field became objects before the head was complete.

Evidence: heads that stop at 8 KiB bring the relay to 57 MB; the difference is what it never uses.

Change: receive buffers of 8 KiB, reads of 4 KiB; over 64 lines of head 431, before they are parsed. The rest of a rejected request is discarded for 0.5 s, as unread data would reset the response.

--- a/stackwheel/wire/endpoint_list_server.py
+++ b/stackwheel/wire/endpoint_list_server.py
@@ -31,7 +31,7 @@
 from stackwheel.relay.watch_cache import CELL_SERVED_ELSEWHERE, WatchCache
 from stackwheel.wire import timing
 from stackwheel.wire.byte_budget import ByteBudget
-from stackwheel.wire.endpoint_requests import MAX_REQUEST_HEAD_BYTES, ListRequest, RequestRejectedError, read_request
+from stackwheel.wire.endpoint_requests import ListRequest, RequestRejectedError, read_request
 from stackwheel.wire.endpoint_watch import EndpointWatch, encode_chunk
 from stackwheel.wire.http import split_address, wait_for_result
 
@@ -40,6 +40,7 @@
 HEARTBEAT_SLICES = 8  # groups of watches whose heartbeats are sent at different times, so that not all come at once
 LISTEN_BACKLOG = 1024  # connections to one cell's listener that wait to be accepted, from all its planners
 MAX_REASON_CHARACTERS = 200  # length of the body of a rejection
+REJECTION_TIMEOUT_MS = 500.0  # to read the rest of a rejected request; unread data would reset the response
 TOO_MANY_CONNECTIONS = "too many connections"  # body of a 503 response
 TOO_MANY_SNAPSHOTS = "too many whole answers under way"  # body of a 503 response
 REASON_PHRASES: Final = {
@@ -61,6 +62,7 @@
     """
     listener = socket.create_server(split_address(address), backlog=LISTEN_BACKLOG)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)  # accepted connections inherit the size
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, timing.RECEIVE_BUFFER_BYTES)
     return listener
 
 
@@ -136,7 +138,9 @@
     async def _start_listener(self, address: str) -> asyncio.Server:
         serve = partial(self._serve, address)
         listener = self.open_listener(address)
-        return await asyncio.start_server(serve, sock=listener, backlog=LISTEN_BACKLOG, limit=MAX_REQUEST_HEAD_BYTES)
+        return await asyncio.start_server(
+            serve, sock=listener, backlog=LISTEN_BACKLOG, limit=timing.ACCEPTED_READ_BYTES
+        )
 
     def close(self) -> None:
         """Close all listeners; open connections are not closed."""
@@ -209,7 +213,7 @@
             if request is not None:
                 await self._answer(address, request, reader, writer)
         except RequestRejectedError as rejection:
-            await self._reject(writer, rejection)
+            await self._reject(reader, writer, rejection)
 
     async def _read_request(self, reader: asyncio.StreamReader) -> ListRequest | None:
         if self.connections > self.max_connections:
@@ -233,12 +237,16 @@
         else:
             await self._send_list(cell, writer)
 
-    async def _reject(self, writer: asyncio.StreamWriter, rejection: RequestRejectedError) -> None:
+    async def _reject(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, rejection: RequestRejectedError
+    ) -> None:
         body = rejection.reason[:MAX_REASON_CHARACTERS].encode() + b"\n"
         headers = [("Content-Type", "text/plain"), ("Content-Length", str(len(body))), ("Connection", "close")]
         if rejection.status == HTTPStatus.METHOD_NOT_ALLOWED:
             headers.append(("Allow", "GET"))
-        await self._send_last(writer, _response_head(rejection.status, headers) + body)
+        writer.write(_response_head(rejection.status, headers) + body)
+        writer.write_eof()
+        await wait_for_result(REJECTION_TIMEOUT_MS, _discard(reader))
 
     async def _send_list(self, cell: str, writer: asyncio.StreamWriter) -> None:
         line = self.cache.snapshot(cell) or b""
@@ -289,12 +297,17 @@
 
 async def _end_on_disconnect(reader: asyncio.StreamReader, watch: EndpointWatch) -> None:
     """Read and discard data from a watcher, and end the watch when the watcher disconnects."""
-    with contextlib.suppress(OSError):
-        while await reader.read(MAX_REQUEST_HEAD_BYTES):
-            pass
+    await _discard(reader)
     watch.end("watcher disconnected")
 
 
+async def _discard(reader: asyncio.StreamReader) -> None:
+    """Read and discard data until the client disconnects."""
+    with contextlib.suppress(OSError):
+        while await reader.read(timing.ACCEPTED_READ_BYTES):
+            await asyncio.sleep(0)  # a client that sends without a pause must not delay others
+
+
 def _response_head(status: int, headers: list[tuple[str, str]]) -> bytes:
     http = h11.Connection(h11.SERVER)
     http.receive_data(b"GET / HTTP/1.1\r\nHost: relay\r\n\r\n")
--- a/stackwheel/wire/endpoint_requests.py
+++ b/stackwheel/wire/endpoint_requests.py
@@ -15,6 +15,7 @@
 from stackwheel.wire.http import wait_for_result
 
 MAX_REQUEST_HEAD_BYTES = 8 << 10  # the head of a planner's request has about 150 bytes
+MAX_REQUEST_HEAD_LINES = 64  # the head of a planner's request has 4
 REQUEST_TIMEOUT_MS = timing.RESPONSE_TIMEOUT_MS  # for the complete request; clients wait no longer for a response
 MAX_GENERATION_DIGITS = 18  # 18 digits fit into 64 bits
 MAX_QUERY_FIELDS = 16  # two are known
@@ -65,10 +66,15 @@
 
 
 async def _next_request(http: h11.Connection, reader: asyncio.StreamReader) -> ListRequest | None:
+    line_count = 0
     while True:
         event = http.next_event()
         if event is h11.NEED_DATA:
-            http.receive_data(await reader.read(MAX_REQUEST_HEAD_BYTES))
+            data = await reader.read(timing.ACCEPTED_READ_BYTES)
+            line_count += data.count(b"\n")
+            if line_count > MAX_REQUEST_HEAD_LINES:
+                raise RequestRejectedError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "too many header fields")
+            http.receive_data(data)
         elif isinstance(event, h11.Request):
             return parse_request(event)
         else:
--- a/tests/service/test_relay_service.py
+++ b/tests/service/test_relay_service.py
@@ -264,6 +264,40 @@
     assert len(completed.stderr.splitlines()) == 1, completed.stderr
 
 
+CROWD = 300
+LARGE_BODY = b"POST /registry/instances HTTP/1.1\r\nHost: relay\r\nContent-Length: 1000000\r\n\r\n" + b"x" * 300_000
+MAX_PEAK_MB = 64.0
+
+
+async def send_and_stop(address: str, port: int) -> asyncio.StreamWriter:
+    """Send most of a large request, until the relay reads no more of it or has closed the connection."""
+    _, writer = await asyncio.open_connection(address, port)
+    writer.write(LARGE_BODY)
+    with contextlib.suppress(ConnectionError, TimeoutError):
+        await asyncio.wait_for(writer.drain(), timing.RESPONSE_TIMEOUT_MS / 1000.0)
+    return writer
+
+
+def test_large_requests_that_stop_half_way_need_little_memory(tmp_path: Path) -> None:
+    """Guards against a relay that is killed for memory by many clients that send parts of large requests."""
+
+    async def scenario() -> None:
+        discovery = await start_discovery(4)
+        cell_plan = plan("s")
+        port = cell_plan.cells[0].port
+        async with relays(tmp_path, discovery, cell_plan) as (relay, _):
+            await relay.wait_for_status(port, 200)
+            writers = await asyncio.gather(*(send_and_stop(HOSTS[0], port) for _ in range(CROWD)))
+            await relay.wait_for_status(port, 200)
+            status = Path(f"/proc/{relay.process.pid}/status").read_text()
+            peak_kib = next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM"))
+            assert peak_kib / 1024 < MAX_PEAK_MB
+            for writer in writers:
+                writer.transport.abort()
+
+    run_async(scenario())
+
+
 def test_a_planner_process_imports_no_module_or_library_that_only_relays_use() -> None:
     program = "import sys, stackwheel.__main__, stackwheel.service.app, stackwheel.service.config; print(*sys.modules)"
     loaded = subprocess.run(
--- a/tests/wire/test_endpoint_list_server.py
+++ b/tests/wire/test_endpoint_list_server.py
@@ -61,6 +61,7 @@
         (f"GET {LIST_PATH}?since=1e3&follow=1", 400),
         ("what is this", 400),
         (f"GET {LIST_PATH}?" + "x" * 3 * endpoint_requests.MAX_REQUEST_HEAD_BYTES, 431),
+        (f"GET {LIST_PATH} HTTP/1.1\r\n" + "a:\r\n" * 1000 + "b:", 431),  # very many short header fields
     ],
 )
 def test_invalid_requests_are_rejected(request_line: str, status: int) -> None:
