Connections: after a reset the lines that are left are dropped

Cause: the kernel hands out what it has received before the error, asyncio learns of the reset only by reading, and a connection did not look between the lines of a read.

Change: between two turns of 32 lines a connection asks its socket for an error, and ends if there is one. The lines of a connection that is closed in order are handled as before, as a collector may connect, report and close.

Relay, datagrams: not concerned (one request a connection, which is answered or not; no connection).

--- a/stackwheel/wire/connection.py
+++ b/stackwheel/wire/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -161,6 +162,7 @@
         """Add received data to the incomplete line, and handle the lines that are complete then, in several turns.
 
         Raises:
+            ConnectionResetError: the client has reset the connection; the lines that are left are dropped.
             ProtocolViolationError: a line is not a message of the protocol, or the incomplete line is not the beginning
                 of one.
         """
@@ -172,10 +174,21 @@
                 raise ProtocolViolationError(f"in message {self.messages_received}", str(error)) from error
             if index % MAX_LINES_PER_TURN == 0:
                 await self.context.turns.wait()
+                self.check_not_reset()
             if self.is_closing:
                 return
         self.check_incomplete_line(max(0, len(self.splitter.pending) - len(data)))
 
+    def check_not_reset(self) -> None:
+        """Raise ConnectionResetError if the client has reset the connection.
+
+        The event loop does not notice a reset as long as there is received data that it has not read.
+        """
+        sock = self.writer.get_extra_info("socket")
+        is_reset = sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+        if is_reset or (self.writer.transport.is_closing() and not self.is_closing):
+            raise ConnectionResetError("reset by the client, with messages left to handle")
+
     def check_incomplete_line(self, checked_bytes: int) -> None:
         """Check the incomplete line after its beginning, of `checked_bytes`, which was checked when it was received.
 
--- a/tests/wire/test_connection_races.py
+++ b/tests/wire/test_connection_races.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import os
 import socket
 import struct
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -253,6 +255,56 @@
     run_async(scenario())
 
 
+RATE = b"RATE id=1 lane=read count=1 fail=0 over=1000.0\r\n"
+
+
+async def messages_handled_after(close: Callable[[socket.socket], None]) -> tuple[int, int]:
+    """Send as many messages as the kernel buffers and close the connection, before the planner reads any of them.
+
+    Returns:
+        The number of messages sent completely, and the number that the connection has posted until it ended.
+    """
+    harness = TransportHarness()
+    await harness.open()
+    client, _ = await join(harness)
+    before = len(harness.posted)
+    client.setblocking(False)
+    sent_bytes = client.send(RATE * 100)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            sent_bytes += client.send(RATE)
+    close(client)
+    await wait_until(lambda: isinstance(harness.posted[-1], StreamEnded))
+    return sent_bytes // len(RATE), len(harness.posted) - 1 - before
+
+
+def reset(client: socket.socket) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+def test_messages_of_a_client_that_reset_its_connection_are_dropped() -> None:
+    """Guards against requests that are still carried out long after their client has gone."""
+
+    async def scenario() -> None:
+        sent, handled = await messages_handled_after(reset)
+        assert sent > 4 * MAX_LINES_PER_TURN
+        assert handled <= MAX_LINES_PER_TURN
+
+    run_async(scenario())
+
+
+def test_messages_of_a_client_that_closed_its_connection_in_order_are_handled() -> None:
+    """A collector may connect, report and close."""
+
+    async def scenario() -> None:
+        sent, handled = await messages_handled_after(lambda client: client.shutdown(socket.SHUT_WR))
+        assert sent > 4 * MAX_LINES_PER_TURN
+        assert handled == sent
+
+    run_async(scenario())
+
+
 def test_message_truncated_by_a_close_has_no_nonce() -> None:
     """A proxy must not apply a partially written message, and its next stream must begin with a complete message."""
 
