Relay: connections are accepted only while descriptors are free, and slow requests give way

Seen by callers: 1,200 clients that connected to a relay with 1,024 descriptors and wrote slowly, stopped half way or did not read took all descriptors. Others got a list after up to 5.2 s and a change up to 0.78 s late (0.002 s else); none was left for the discovery service.

Cause: asyncio's server accepts up to 1,024 connections in one iteration of the event loop. The limit was applied afterwards, and each rejection held its descriptor for up to 2 s, as did each request that stopped half way.

Change: the relay accepts one connection of a listener in each iteration while a descriptor is free. At its limit, or with 256 connections without an accepted request, the oldest of these give way, 50 ms after they were accepted at the earliest. 16 descriptors are for rejections.

Tests: slow requests give way, 200 clients at once (200 open before, 20 allowed), number of slow requests; all three fail before.

--- a/stackwheel/service/relay.py
+++ b/stackwheel/service/relay.py
@@ -28,6 +28,7 @@
 )
 from stackwheel.state.messages import EndpointListFailed
 from stackwheel.wire import timing
+from stackwheel.wire.connection_slots import REJECTION_SLOTS
 from stackwheel.wire.discovery_client import DiscoveryClient, DiscoveryOptions
 from stackwheel.wire.endpoint_list_server import EndpointListServer, open_listener
 
@@ -147,7 +148,7 @@
 def connection_limit(listeners: int) -> int:
     """Return how many connections may be open at once, without the descriptors of listeners and of other uses."""
     descriptors = min(resource.getrlimit(resource.RLIMIT_NOFILE)[0], MAX_DESCRIPTORS)
-    return max(1, descriptors - listeners - timing.RESERVED_DESCRIPTORS)
+    return max(1, descriptors - listeners - timing.RESERVED_DESCRIPTORS - REJECTION_SLOTS)
 
 
 async def serve(config: RelayConfig, assignment: RelayAssignment) -> None:
--- a/stackwheel/wire/endpoint_list_server.py
+++ b/stackwheel/wire/endpoint_list_server.py
@@ -31,9 +31,11 @@
 from stackwheel.relay.watch_cache import CELL_SERVED_ELSEWHERE, WatchCache
 from stackwheel.wire import timing
 from stackwheel.wire.byte_budget import ByteBudget
+from stackwheel.wire.connection_slots import ConnectionSlots, Slot
 from stackwheel.wire.endpoint_requests import ListRequest, RequestRejectedError, read_request
 from stackwheel.wire.endpoint_watch import EndpointWatch, encode_chunk
-from stackwheel.wire.http import split_address, wait_for_result
+from stackwheel.wire.http import socket_closed, split_address, wait_for_result
+from stackwheel.wire.task_supervisor import TaskSupervisor
 
 MAX_SNAPSHOT_BYTES = 64 << 20  # total size of the snapshots being sent; 512 of them for cells with 512 servers
 SEND_BUFFER_BYTES = 64 << 10  # size of the kernel's send buffer, where the unread data of a slow reader stays
@@ -63,15 +65,25 @@
     listener = socket.create_server(split_address(address), backlog=LISTEN_BACKLOG)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)  # accepted connections inherit the size
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, timing.RECEIVE_BUFFER_BYTES)
+    listener.setblocking(False)
     return listener
 
 
 @dataclass(slots=True)
 class CellListener:
-    """An open listener, and the name of the cell that it serves."""
+    """An open listener.
+
+    Attributes:
+        cell: name of the cell that it serves.
+        task: task that accepts connections; the listening socket is closed when it ends.
+    """
 
     cell: str
-    server: asyncio.Server
+    task: asyncio.Task[None]
+
+    def close(self) -> None:
+        """Accept no more connections."""
+        self.task.cancel()
 
 
 class EndpointListServer:
@@ -81,8 +93,8 @@
         cache: cache of the endpoint lists; its times are in ms on the event loop's clock, see `now`.
         open_listener: opens a listening socket at an address.
         budget: limit on the total size of the snapshots that are being sent.
-        max_connections: maximum number of open connections.
-        connections: number of open connections.
+        slots: the open connections.
+        tasks: tasks that serve the open connections.
         listeners: open listeners by address.
         watches: heartbeat slice of each open watch, by cell and watch.
         watches_opened: number of watches opened so far.
@@ -98,12 +110,17 @@
         self.cache = cache
         self.open_listener = open_listener
         self.budget = ByteBudget(max_snapshot_bytes)
-        self.max_connections = max_connections
-        self.connections = 0
+        self.slots = ConnectionSlots(max_connections)
+        self.tasks = TaskSupervisor()
         self.listeners: dict[str, CellListener] = {}
         self.watches: dict[str, dict[EndpointWatch, int]] = {}
         self.watches_opened = 0
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return self.slots.open
+
     @staticmethod
     def now() -> float:
         """Return the current time on the event loop's clock, in ms."""
@@ -124,28 +141,55 @@
         try:
             for address, cell in cell_by_address.items():
                 if address not in self.listeners:
-                    added[address] = CellListener(cell, await self._start_listener(address))
+                    added[address] = self._start_listener(address, cell)
         except OSError:
             for listener in added.values():
-                listener.server.close()
+                listener.close()
             raise
-        for address in [address for address in self.listeners if address not in cell_by_address]:
-            self.listeners.pop(address).server.close()
+        removed = [self.listeners.pop(address) for address in list(self.listeners) if address not in cell_by_address]
         for address, listener in self.listeners.items():
             listener.cell = cell_by_address[address]
         self.listeners |= added
+        for listener in removed:
+            listener.close()
+            await asyncio.wait({listener.task})
 
-    async def _start_listener(self, address: str) -> asyncio.Server:
-        serve = partial(self._serve, address)
+    def _start_listener(self, address: str, cell: str) -> CellListener:
         listener = self.open_listener(address)
-        return await asyncio.start_server(
-            serve, sock=listener, backlog=LISTEN_BACKLOG, limit=timing.ACCEPTED_READ_BYTES
-        )
+        task = asyncio.create_task(self._accept(address, listener))
+        task.add_done_callback(lambda _: listener.close())  # also if the task is cancelled before it runs
+        return CellListener(cell, task)
+
+    async def _accept(self, address: str, listener: socket.socket) -> None:
+        """Accept connections, one in each iteration of the event loop, until cancelled.
+
+        asyncio's own server is not used because it accepts without a limit on open connections.
+        """
+        try:
+            while True:
+                await self.slots.wait_for_slot()
+                await self._accept_one(address, listener)
+                await asyncio.sleep(0)
+        finally:
+            listener.close()
+
+    async def _accept_one(self, address: str, listener: socket.socket) -> None:
+        """Accept a connection and serve it in a task of its own; waits for a moment after a failure."""
+        try:
+            accepted, _ = await asyncio.get_running_loop().sock_accept(listener)
+        except OSError as error:
+            logger.warning("connection not accepted: reason={}", error)
+            await asyncio.sleep(timing.ACCEPT_RETRY_MS / 1000.0)
+            return
+        if self.slots.has_room:  # the listener of another cell may have accepted the last connection meanwhile
+            self.tasks.start(self._serve(address, accepted, self.slots.occupy()))
+        else:
+            accepted.close()
 
     def close(self) -> None:
         """Close all listeners; open connections are not closed."""
         for listener in self.listeners.values():
-            listener.server.close()
+            listener.close()
         self.listeners.clear()
 
     # Actions of the watch cache
@@ -194,29 +238,41 @@
 
     # Connections
 
-    async def _serve(self, address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
+    async def _serve(self, address: str, accepted: socket.socket, slot: Slot) -> None:
+        """Set up and serve an accepted connection until its socket is closed."""
+        try:
+            reader, writer = await asyncio.open_connection(sock=accepted, limit=timing.ACCEPTED_READ_BYTES)
+        except OSError as error:
+            logger.debug("connection lost: address={} reason={}", address, error)
+            accepted.close()
+            self.slots.release(slot)
+            return
+        slot.writer = writer
         try:
             writer.transport.set_write_buffer_limits(high=0)  # drain() waits until the kernel has accepted all data
-            await self._serve_request(address, reader, writer)
+            await self._serve_request(address, reader, writer, slot)
         except OSError as error:
             logger.debug("connection lost: address={} reason={}", address, error)
         except Exception as error:
             logger.exception("connection failed unexpectedly: address={} reason={!r}", address, error)
         finally:
-            self.connections -= 1
             writer.transport.abort()
+        await socket_closed(writer)
+        self.slots.release(slot)
 
-    async def _serve_request(self, address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve_request(
+        self, address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, slot: Slot
+    ) -> None:
         try:
             request = await self._read_request(reader)
             if request is not None:
+                self.slots.accept_request(slot)
                 await self._answer(address, request, reader, writer)
         except RequestRejectedError as rejection:
             await self._reject(reader, writer, rejection)
 
     async def _read_request(self, reader: asyncio.StreamReader) -> ListRequest | None:
-        if self.connections > self.max_connections:
+        if self.slots.is_overloaded:
             raise RequestRejectedError(HTTPStatus.SERVICE_UNAVAILABLE, TOO_MANY_CONNECTIONS)
         return await read_request(reader)
 
--- a/tests/wire/test_endpoint_list_server.py
+++ b/tests/wire/test_endpoint_list_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 from endpoint_lists import (
@@ -31,7 +32,8 @@
 )
 
 from stackwheel.relay.watch_cache import WatchCache
-from stackwheel.wire import endpoint_requests, timing
+from stackwheel.wire import connection_slots, endpoint_requests, timing
+from stackwheel.wire.connection_slots import REJECTION_SLOTS
 from stackwheel.wire.endpoint_watch import MAX_PENDING_BYTES
 
 
@@ -115,6 +117,62 @@
     run(scenario)
 
 
+def test_slow_requests_give_way_to_later_ones(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a relay that answers nobody while clients that stopped half way hold all its connections."""
+    monkeypatch.setattr(endpoint_requests, "REQUEST_TIMEOUT_MS", 60_000.0)
+
+    async def scenario() -> None:
+        relay = await start_relay(instance("a-1"), max_connections=2)
+        slow = [await Caller.open(relay.address) for _ in range(4)]
+        for caller in slow:
+            await caller.send(f"GET {LIST_PATH} HT")
+        while await (await relay.get_list()).status() != 200:
+            pass
+        assert await slow[0].receive_all() == b""
+
+    run(scenario)
+
+
+def connect_without_waiting(address: str, count: int) -> list[socket.socket]:
+    """Open connections without running the event loop, so that all of them wait to be accepted."""
+    host, _, port = address.rpartition(":")
+    return [socket.create_connection((host, int(port))) for _ in range(count)]
+
+
+def test_open_connections_are_limited_while_very_many_clients_connect() -> None:
+    """Guards against a relay without descriptors for its discovery service while very many clients connect."""
+
+    async def scenario() -> None:
+        relay = await start_relay(instance("a-1"), max_connections=4)
+        clients = connect_without_waiting(relay.address, 200)
+        most_open = 0
+        for _ in range(1000):
+            most_open = max(most_open, relay.server.connections)
+            await asyncio.sleep(0)
+        assert 4 <= most_open <= 4 + REJECTION_SLOTS
+        for client in clients:
+            client.close()
+
+    run(scenario)
+
+
+def test_number_of_slow_requests_is_limited(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the memory of very many requests that are never complete."""
+    monkeypatch.setattr(endpoint_requests, "REQUEST_TIMEOUT_MS", 60_000.0)
+    monkeypatch.setattr(connection_slots, "MAX_PENDING_REQUESTS", 8)
+
+    async def scenario() -> None:
+        relay = await start_relay(instance("a-1"))
+        clients = connect_without_waiting(relay.address, 40)
+        assert await (await relay.get_list()).status() == 200
+        while relay.server.connections > 8:
+            await asyncio.sleep(0)
+        for client in clients:
+            client.close()
+
+    run(scenario)
+
+
 # Order of the first line of a watch and later changes
 
 
