Tests: transports that a test leaves open are finalized before the next test

Change: the tests of wire, service and scale, which open sockets, collect garbage when they end, in place of the pause while a module is parsed, which is taken back.

--- a/tests/docs/test_architecture_page.py
+++ b/tests/docs/test_architecture_page.py
@@ -6,7 +6,6 @@
 from pathlib import Path
 
 import pytest
-from source_code import parse_module
 
 ROOT = Path(__file__).parents[2]
 PAGE = ROOT / "docs" / "architecture.md"
@@ -25,7 +24,7 @@
 def names_defined_in(path: Path) -> set[str]:
     """Return the names of the top-level functions and classes of a module, and of methods as `Class.method`."""
     names: set[str] = set()
-    for node in parse_module(path).body:
+    for node in ast.parse(path.read_text()).body:
         if isinstance(node, ast.ClassDef | ast.FunctionDef | ast.AsyncFunctionDef):
             names.add(node.name)
         if isinstance(node, ast.ClassDef):
--- a/tests/docs/test_oncall_page.py
+++ b/tests/docs/test_oncall_page.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 
 import pytest
-from source_code import parse_module
 
 ROOT = Path(__file__).parents[2]
 PAGE = ROOT / "docs" / "oncall.md"
@@ -65,7 +64,7 @@
         relative = path.relative_to(PACKAGE)
         if relative.parts[0] in NON_PRODUCTION_PACKAGES:
             continue
-        for node in ast.walk(parse_module(path)):
+        for node in ast.walk(ast.parse(path.read_text())):
             if (
                 isinstance(node, ast.Call)
                 and isinstance(node.func, ast.Attribute)
--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -8,7 +8,6 @@
 
 import msgspec
 import pytest
-from source_code import parse_module
 
 from stackwheel.cli.entry import main
 from stackwheel.scale import target_size as target
@@ -37,7 +36,7 @@
     for path, first, second in named_code:
         definitions = {
             node.name: node
-            for node in parse_module(ROOT / "stackwheel" / path).body
+            for node in ast.parse((ROOT / "stackwheel" / path).read_text()).body
             if isinstance(node, ast.ClassDef | ast.FunctionDef | ast.AsyncFunctionDef)
         }
         assert first in definitions, (path, first)
--- /dev/null
+++ b/tests/service/conftest.py
@@ -0,0 +1,3 @@
+"""Fixtures for the tests of `service`, which open sockets."""
+
+from open_transports import _finalize_open_transports  # noqa: F401  # an autouse fixture
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,7 +6,6 @@
 from pathlib import Path
 
 import pytest
-from source_code import parse_module
 
 ROOT = Path(__file__).parents[1]
 LAYERS = {
@@ -43,7 +42,7 @@
 
 def imported_modules(path: Path) -> Iterator[str]:
     """Yield the modules of this project that a file imports, including imports inside functions."""
-    for node in ast.walk(parse_module(path)):
+    for node in ast.walk(ast.parse(path.read_text())):
         if isinstance(node, ast.Import):
             yield from (alias.name for alias in node.names if alias.name in MODULES)
         elif isinstance(node, ast.ImportFrom) and node.module is not None:
