Connections: the messages handled in one iteration of the event loop have a limit for all together

Suspected when the memory under 880 flooding connections was looked at, and shown by the test: with 32 lines a connection, 200 connections posted 6,400 messages in one iteration, and 3,125 would have passed the limit of the planner actor's mailbox, beyond which it drops reports and acknowledgements of others.

Change: at most 128 connections begin a read in one iteration; the others begin in the next ones, in order.

Test: fails before (6,400 messages, 4,096 allowed).

--- a/stackwheel/wire/connection.py
+++ b/stackwheel/wire/connection.py
@@ -166,6 +166,7 @@
             ProtocolViolationError: a line is not a message of the protocol, or the incomplete line is not the beginning
                 of one.
         """
+        await self.context.turns.wait_for_first()
         for index, line in enumerate(self.splitter.feed(data), 1):
             self.messages_received += 1
             try:
--- a/stackwheel/wire/read_turns.py
+++ b/stackwheel/wire/read_turns.py
@@ -11,17 +11,38 @@
 """
 
 
+MAX_FIRST_TURNS_PER_ITERATION = 128
+"""Maximum number of connections that begin to process a read in one iteration of the event loop.
+
+More than connect in one iteration when all proxies connect at once. Together with MAX_LINES_PER_TURN, it limits the
+messages that wait for the planner actor.
+"""
+
+
 class ReadTurns:
-    """Grants further turns to connections that have more data than one turn may process.
+    """Grants turns to connections that have received data.
 
-    Turns are granted in order of request, at most one in each iteration of the event loop. New data of other
+    The first turn of a read is granted at once, unless very many connections have received data at the same time.
+    Further turns are granted in order of request, at most one in each iteration of the event loop. New data of other
     connections, the planner actor and outgoing messages are processed between two turns.
     """
 
     def __init__(self) -> None:
         self._order = asyncio.Lock()  # a lock is acquired in order of request
+        self._first_turns = 0  # in this iteration of the event loop
+
+    async def wait_for_first(self) -> None:
+        """Wait for the first turn of a read."""
+        while self._first_turns >= MAX_FIRST_TURNS_PER_ITERATION:
+            await asyncio.sleep(0)
+        if self._first_turns == 0:
+            asyncio.get_running_loop().call_soon(self._begin_iteration)
+        self._first_turns += 1
 
     async def wait(self) -> None:
-        """Wait for the next turn."""
+        """Wait for the next turn of a read."""
         async with self._order:
             await asyncio.sleep(0)
+
+    def _begin_iteration(self) -> None:
+        self._first_turns = 0
--- a/tests/wire/test_connection_races.py
+++ b/tests/wire/test_connection_races.py
@@ -23,7 +23,7 @@
 from stackwheel.state.table_updates import ProxyUpdate, UpdatePart
 from stackwheel.wire.connection import Connection
 from stackwheel.wire.connection_limits import RateLimiter
-from stackwheel.wire.read_turns import MAX_LINES_PER_TURN
+from stackwheel.wire.read_turns import MAX_FIRST_TURNS_PER_ITERATION, MAX_LINES_PER_TURN
 
 JOIN = b"SUBSCRIBE id=1 site=east rps=1 new=1\r\n"
 
@@ -255,6 +255,30 @@
     run_async(scenario())
 
 
+def test_messages_of_one_iteration_are_limited_however_many_connections_send() -> None:
+    """Guards against very many clients that fill the planner actor's mailbox, whose limit drops messages of others."""
+
+    async def scenario() -> None:
+        count = MAX_FIRST_TURNS_PER_ITERATION + 72
+        harness = TransportHarness(proxies=count)
+        await harness.open()
+        clients = [harness.connect(b"SUBSCRIBE id=%d site=east rps=1 new=1\r\n" % n) for n in range(count)]
+        await wait_until(lambda: len(harness.posted) == count)
+        for number, client in enumerate(clients):
+            client.sendall(b"RATE id=%d lane=read count=1 fail=0 over=1000.0\r\n" % number * MAX_LINES_PER_TURN)
+        most_posted = 0
+        total = count + count * MAX_LINES_PER_TURN
+        while len(harness.posted) < total:
+            before = len(harness.posted)
+            await asyncio.sleep(0)
+            most_posted = max(most_posted, len(harness.posted) - before)
+        assert most_posted <= MAX_FIRST_TURNS_PER_ITERATION * MAX_LINES_PER_TURN
+        for client in clients:
+            client.close()
+
+    run_async(scenario())
+
+
 RATE = b"RATE id=1 lane=read count=1 fail=0 over=1000.0\r\n"
 
 
