--- a/stackwheel/scale/hollow.py
+++ b/stackwheel/scale/hollow.py
@@ -43,7 +43,8 @@
 from stackwheel.scale.propagation_records import PropagationRecords
 from stackwheel.state.messages import EndpointListFailed
 from stackwheel.state.server_ids import server_id
-from stackwheel.wire.discovery_client import DiscoveryClient, DiscoveryOptions, WatchEnd
+from stackwheel.wire.discovery_client import DiscoveryClient
+from stackwheel.wire.discovery_commands import DiscoveryOptions, WatchEnd
 from stackwheel.wire.discovery_protocol import AVAILABILITY_BY_LIFECYCLE
 
 # The maximum backoff of the discovery client is a share of it. Equal to `obligations.ask_within` of the example
--- a/stackwheel/service/relay.py
+++ b/stackwheel/service/relay.py
@@ -29,7 +29,8 @@
 from stackwheel.state.messages import EndpointListFailed
 from stackwheel.wire import timing
 from stackwheel.wire.connection_slots import REJECTION_SLOTS
-from stackwheel.wire.discovery_client import DiscoveryClient, DiscoveryOptions
+from stackwheel.wire.discovery_client import DiscoveryClient
+from stackwheel.wire.discovery_commands import DiscoveryOptions
 from stackwheel.wire.endpoint_list_server import EndpointListServer, open_listener
 
 MAX_DESCRIPTORS = 20_000  # file descriptors to use if the limit of the system is higher
--- a/stackwheel/wire/transport.py
+++ b/stackwheel/wire/transport.py
@@ -22,7 +22,8 @@
 from stackwheel.wire.connection_limits import BufferBudget, RateLimiter
 from stackwheel.wire.connection_table import ConnectionTable
 from stackwheel.wire.datagrams import GossipProtocol
-from stackwheel.wire.discovery_client import ChangeAddress, Command, DiscoveryClient, DiscoveryOptions
+from stackwheel.wire.discovery_client import DiscoveryClient
+from stackwheel.wire.discovery_commands import ChangeAddress, Command, DiscoveryOptions
 from stackwheel.wire.health_check_runner import HealthCheckRunner
 from stackwheel.wire.http import socket_closed, split_address
 from stackwheel.wire.line_codec import Encoder
--- a/tests/scripted_discovery.py
+++ b/tests/scripted_discovery.py
@@ -11,7 +11,8 @@
 
 from stackwheel.endpoints import EndpointList
 from stackwheel.state.messages import EndpointListFailed
-from stackwheel.wire.discovery_client import ChangeAddress, Command, DiscoveryClient, DiscoveryOptions
+from stackwheel.wire.discovery_client import DiscoveryClient
+from stackwheel.wire.discovery_commands import ChangeAddress, Command, DiscoveryOptions
 
 WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 TEST_TIMEOUT_S = 60.0
--- a/tests/service/test_reload.py
+++ b/tests/service/test_reload.py
@@ -26,7 +26,8 @@
 from stackwheel.service.config import read_config
 from stackwheel.service.reload import Reload
 from stackwheel.state.messages import EndpointListFailed
-from stackwheel.wire.discovery_client import ChangeAddress, Command, DiscoveryClient
+from stackwheel.wire.discovery_client import DiscoveryClient
+from stackwheel.wire.discovery_commands import ChangeAddress, Command
 from stackwheel.wire.transport import Addresses
 
 
--- a/tests/wire/test_discovery_client.py
+++ b/tests/wire/test_discovery_client.py
@@ -9,7 +9,7 @@
 from scripted_discovery import ClientHarness, ScriptedDiscovery, endpoint_list_json, run_async, start_watching
 
 from stackwheel.wire import timing
-from stackwheel.wire.discovery_client import ChangeAddress, Command
+from stackwheel.wire.discovery_commands import ChangeAddress, Command
 
 
 def test_fetch_during_change_of_address_is_repeated_at_new_address() -> None:
--- a/tests/wire/test_discovery_event_orders.py
+++ b/tests/wire/test_discovery_event_orders.py
@@ -16,7 +16,8 @@
 
 from stackwheel.endpoints import EndpointList
 from stackwheel.state.messages import EndpointListFailed
-from stackwheel.wire.discovery_client import ChangeAddress, Command, DiscoveryClient, DiscoveryOptions, WatchEnd
+from stackwheel.wire.discovery_client import DiscoveryClient
+from stackwheel.wire.discovery_commands import ChangeAddress, Command, DiscoveryOptions, WatchEnd
 from stackwheel.wire.http import CallError, Stage
 
 FIRST_ADDRESS = "discovery-0:1"
--- a/tests/wire/test_discovery_replicas.py
+++ b/tests/wire/test_discovery_replicas.py
@@ -19,7 +19,7 @@
 from stackwheel.endpoints import EndpointList
 from stackwheel.service.config import read_config
 from stackwheel.wire import timing
-from stackwheel.wire.discovery_client import ChangeAddress, Command
+from stackwheel.wire.discovery_commands import ChangeAddress, Command
 
 
 async def start_pair() -> tuple[ScriptedDiscovery, ScriptedDiscovery, str]:
