Connections: first turns in order, a read ends a turn, and memory is kept for proxies still to join

Three faults of this work's own changes, found by playing 880 clients at 64 MB and by the whole suite on eight workers:

- Memory: one of three plays of partial lines passed a limit of 64 MB by less than 1 MB.
What is buffered while few connections are open is not given back by the allocator.
The limit on buffers now leaves memory for the proxies of the settings, joined or not; receive buffers are 4 KiB and reads 2 KiB.
- A turn went on over several reads, as the next one returned at once: after each read a connection waits for the next iteration of the event loop.
Two of six kinds of lines failed the test of floods with 2 KiB reads.
- First turns, limited to 128 in an iteration, always went to the same connections: a proxy that joined beside 470 flooding ones was closed as unidentified (test of the memory limit, two of eight cases on eight workers).
They are granted in order of request.

--- a/stackwheel/wire/connection.py
+++ b/stackwheel/wire/connection.py
@@ -149,6 +149,7 @@
             self.account_buffers()
             if self.is_closing:
                 return
+            await asyncio.sleep(0)  # the next read may return at once, and would prolong the turn
         partial_line_bytes = len(self.splitter.pending)
         if partial_line_bytes and not self.is_closing:
             logger.warning(
--- a/stackwheel/wire/read_turns.py
+++ b/stackwheel/wire/read_turns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 
 MAX_LINES_PER_TURN = 32
 """Maximum number of lines that a connection processes before it waits for its next turn.
@@ -30,19 +31,31 @@
     def __init__(self) -> None:
         self._order = asyncio.Lock()  # a lock is acquired in order of request
         self._first_turns = 0  # in this iteration of the event loop
+        self._waiting: deque[asyncio.Future[None]] = deque()  # for a first turn, at most one for each connection
 
     async def wait_for_first(self) -> None:
-        """Wait for the first turn of a read."""
-        while self._first_turns >= MAX_FIRST_TURNS_PER_ITERATION:
-            await asyncio.sleep(0)
-        if self._first_turns == 0:
-            asyncio.get_running_loop().call_soon(self._begin_iteration)
-        self._first_turns += 1
+        """Wait for the first turn of a read; these are granted in order of request, too."""
+        if self._waiting or self._first_turns >= MAX_FIRST_TURNS_PER_ITERATION:
+            turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._waiting.append(turn)
+            await turn
+        else:
+            self._count_first_turn()
 
     async def wait(self) -> None:
         """Wait for the next turn of a read."""
         async with self._order:
             await asyncio.sleep(0)
 
+    def _count_first_turn(self) -> None:
+        if self._first_turns == 0:
+            asyncio.get_running_loop().call_soon(self._begin_iteration)
+        self._first_turns += 1
+
     def _begin_iteration(self) -> None:
         self._first_turns = 0
+        while self._waiting and self._first_turns < MAX_FIRST_TURNS_PER_ITERATION:
+            turn = self._waiting.popleft()
+            if not turn.done():  # it is done if its connection was cancelled
+                turn.set_result(None)
+                self._count_first_turn()
--- a/stackwheel/wire/timing.py
+++ b/stackwheel/wire/timing.py
@@ -69,11 +69,11 @@
 READ_BYTES = 64 * 1024
 
 # Maximum size of one read from an accepted connection. asyncio buffers up to twice this size, and one more read.
-ACCEPTED_READ_BYTES = 4 * 1024
+ACCEPTED_READ_BYTES = 2 * 1024
 
 # Size of the kernel's receive buffer of an accepted connection, which limits the unread data of a client that sends too
 # much, and the data that asyncio reads at once. Linux doubles it.
-RECEIVE_BUFFER_BYTES = 8 * 1024
+RECEIVE_BUFFER_BYTES = 4 * 1024
 
 # Maximum number of collectors per zone. A new collector may connect before the end of the previous connection is
 # detected.
@@ -163,7 +163,7 @@
 
     Args:
         memory_mb: maximum memory of the process, in MB.
-        connections: number of accepted connections.
+        connections: number of connections to leave memory for.
     """
     available = int(memory_mb * (1 << 20)) - BASE_MEMORY_BYTES - connections * CONNECTION_MEMORY_BYTES
     return max(MIN_BUFFER_LIMIT_BYTES, available // BUFFER_MEMORY_DIVISOR)
--- a/stackwheel/wire/transport.py
+++ b/stackwheel/wire/transport.py
@@ -198,8 +198,9 @@
         self.connection_table.remove(connection)
 
     def buffer_limit_bytes(self) -> int:
-        """Return the limit on buffered data under the current memory limit and with the current connections."""
-        return timing.buffer_limit_bytes(self.addresses.memory_mb, len(self.connection_table.connections))
+        """Return the limit on buffered data, which leaves memory for all connections and for proxies still to join."""
+        connections = max(len(self.connection_table.connections), self.settings.proxy_count)
+        return timing.buffer_limit_bytes(self.addresses.memory_mb, connections)
 
     def is_listed(self, server: ServerId) -> bool:
         """Return whether any endpoint list so far contained the server."""
--- a/tests/wire/test_connection_races.py
+++ b/tests/wire/test_connection_races.py
@@ -262,8 +262,7 @@
         count = MAX_FIRST_TURNS_PER_ITERATION + 72
         harness = TransportHarness(proxies=count)
         await harness.open()
-        clients = [harness.connect(b"SUBSCRIBE id=%d site=east rps=1 new=1\r\n" % n) for n in range(count)]
-        await wait_until(lambda: len(harness.posted) == count)
+        clients = await join_all(harness, count)
         for number, client in enumerate(clients):
             client.sendall(b"RATE id=%d lane=read count=1 fail=0 over=1000.0\r\n" % number * MAX_LINES_PER_TURN)
         most_posted = 0
@@ -279,6 +278,13 @@
     run_async(scenario())
 
 
+async def join_all(harness: TransportHarness, count: int) -> list[socket.socket]:
+    """Let proxies with the numbers below `count` join."""
+    clients = [harness.connect(b"SUBSCRIBE id=%d site=east rps=1 new=1\r\n" % number) for number in range(count)]
+    await wait_until(lambda: len(harness.posted) == count)
+    return clients
+
+
 RATE = b"RATE id=1 lane=read count=1 fail=0 over=1000.0\r\n"
 
 
