Read turns: those granted together run in one iteration; the new test asks for what is meant

Turns granted to waiting connections ran in the next iteration, after its count had begun. The count now begins after them, and the whole test asks for at least 25 turns of 100 for each connection and for 128 in an iteration on average; equal numbers are not meant, as a connection that finds nobody waiting need not wait.

--- a/stackwheel/wire/read_turns.py
+++ b/stackwheel/wire/read_turns.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 
 MAX_LINES_PER_TURN = 32
 """Maximum number of lines that a connection processes before it waits for its next turn.
@@ -31,7 +30,7 @@
     def __init__(self) -> None:
         self._order = asyncio.Lock()  # a lock is acquired in order of request
         self._first_turns = 0  # in this iteration of the event loop
-        self._waiting: deque[asyncio.Future[None]] = deque()  # for a first turn, at most one for each connection
+        self._waiting: list[asyncio.Future[None]] = []  # for a first turn, at most one for each connection
 
     async def wait_for_first(self) -> None:
         """Wait for the first turn of a read; these are granted in order of request, too."""
@@ -53,9 +52,12 @@
         self._first_turns += 1
 
     def _begin_iteration(self) -> None:
-        self._first_turns = 0
-        while self._waiting and self._first_turns < MAX_FIRST_TURNS_PER_ITERATION:
-            turn = self._waiting.popleft()
-            if not turn.done():  # it is done if its connection was cancelled
-                turn.set_result(None)
-                self._count_first_turn()
+        """Grant turns to waiting connections, which use them before the next call of this method."""
+        waiting = [turn for turn in self._waiting if not turn.done()]  # those of cancelled connections are done
+        granted = waiting[:MAX_FIRST_TURNS_PER_ITERATION]
+        self._waiting = waiting[MAX_FIRST_TURNS_PER_ITERATION:]
+        self._first_turns = len(granted)
+        for turn in granted:
+            turn.set_result(None)
+        if granted:
+            asyncio.get_running_loop().call_soon(self._begin_iteration)
