Connections: a reset is noticed after each read, not only after 32 lines

Found by reading the change again: with reads of 2 KiB, a read has fewer than 32 lines of over 64 bytes, and a connection asked for a reset only after each 32nd line of a read. So what longer lines were left was still handled.

Change: it asks after each read, too. Lines of a connection closed in order are handled as before.

Tests: reset and close in order, each with short and with long lines; the reset with long lines failed before (all 39 handled, 32 allowed), the other three held.

--- a/stackwheel/wire/connection.py
+++ b/stackwheel/wire/connection.py
@@ -150,6 +150,7 @@
             if self.is_closing:
                 return
             await asyncio.sleep(0)  # the next read may return at once, and would prolong the turn
+            self.check_not_reset()
         partial_line_bytes = len(self.splitter.pending)
         if partial_line_bytes and not self.is_closing:
             logger.warning(
--- a/tests/wire/test_connection_races.py
+++ b/tests/wire/test_connection_races.py
@@ -288,7 +288,11 @@
 RATE = b"RATE id=1 lane=read count=1 fail=0 over=1000.0\r\n"
 
 
-async def messages_handled_after(close: Callable[[socket.socket], None]) -> tuple[int, int]:
+LONG_RATE = b"RATE id=1 lane=read count=1 fail=0 over=1000.0 later=" + b"x" * 100 + b"\r\n"
+"""Of such messages, a read has fewer than a turn."""
+
+
+async def messages_handled_after(close: Callable[[socket.socket], None], line: bytes) -> tuple[int, int]:
     """Send as many messages as the kernel buffers and close the connection, before the planner reads any of them.
 
     Returns:
@@ -299,13 +303,13 @@
     client, _ = await join(harness)
     before = len(harness.posted)
     client.setblocking(False)
-    sent_bytes = client.send(RATE * 100)
+    sent_bytes = client.send(line * 100)
     with contextlib.suppress(BlockingIOError):
         while True:
-            sent_bytes += client.send(RATE)
+            sent_bytes += client.send(line)
     close(client)
     await wait_until(lambda: isinstance(harness.posted[-1], StreamEnded))
-    return sent_bytes // len(RATE), len(harness.posted) - 1 - before
+    return sent_bytes // len(line), len(harness.posted) - 1 - before
 
 
 def reset(client: socket.socket) -> None:
@@ -313,22 +317,24 @@
     client.close()
 
 
-def test_messages_of_a_client_that_reset_its_connection_are_dropped() -> None:
+@pytest.mark.parametrize("line", [RATE, LONG_RATE], ids=["short", "long"])
+def test_messages_of_a_client_that_reset_its_connection_are_dropped(line: bytes) -> None:
     """Guards against requests that are still carried out long after their client has gone."""
 
     async def scenario() -> None:
-        sent, handled = await messages_handled_after(reset)
+        sent, handled = await messages_handled_after(reset, line)
         assert sent > 4 * MAX_LINES_PER_TURN
         assert handled <= MAX_LINES_PER_TURN
 
     run_async(scenario())
 
 
-def test_messages_of_a_client_that_closed_its_connection_in_order_are_handled() -> None:
+@pytest.mark.parametrize("line", [RATE, LONG_RATE], ids=["short", "long"])
+def test_messages_of_a_client_that_closed_its_connection_in_order_are_handled(line: bytes) -> None:
     """A collector may connect, report and close."""
 
     async def scenario() -> None:
-        sent, handled = await messages_handled_after(lambda client: client.shutdown(socket.SHUT_WR))
+        sent, handled = await messages_handled_after(lambda client: client.shutdown(socket.SHUT_WR), line)
         assert sent > 4 * MAX_LINES_PER_TURN
         assert handled == sent
 
